--- /dev/null
+++ b/src/bin/yuccaridge/main.rs
@@ -0,0 +1,3 @@
+//! The yuccaridge program.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduler for multi-accelerator jobs under team guarantees.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the workers.
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-in program.
+
+fn main() {}
