Define the types that the stages share, and stand-ins in memory

Cause: several stages are built at once and need the same types. Change: names, time, job rows, team objects, platform traits with named steps, the interface of the decision core; a table, an object store and a worker in memory with a hook before and after each request. Conclusion: stages can be written and tested against each other's interface.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,12 @@
 //! Scheduler for multi-accelerator jobs under team guarantees.
+//!
+//! The modules stand in the order in which a job passes them. Everything that decides is pure: state and time go in,
+//! decisions come out. Controllers are driven by `step(now)` and reach the outside only through the traits in
+//! [`platform`], so that tests can run them with fakes and virtual time.
+
+pub mod job;
+pub mod name;
+pub mod plan;
+pub mod platform;
+pub mod team;
+pub mod time;
--- /dev/null
+++ b/src/plan/event.rs
@@ -0,0 +1,127 @@
+//! What the decision core is told.
+
+use std::collections::BTreeMap;
+
+use crate::job::{Seat, Shape};
+use crate::name::{DomainName, JobId, KindName, RackName, TeamName, WorkerName};
+use crate::team::Team;
+use crate::time::Millis;
+
+/// A worker, as far as planning needs to know it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerSpec {
+    /// Its name.
+    pub name: WorkerName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Cores.
+    pub cores: u32,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators, numbered from 0; neighbours in number are adjacent.
+    pub accelerators: u16,
+    /// Tasks that it runs at once.
+    pub slots: u16,
+}
+
+/// A job that waits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QueuedJob {
+    /// Its name.
+    pub id: JobId,
+    /// Its team.
+    pub team: TeamName,
+    /// Its kind.
+    pub kind: KindName,
+    /// What it needs.
+    pub shape: Shape,
+    /// Declared run time; zero if not declared.
+    pub declared: Millis,
+    /// Whether it can be stopped at a checkpoint and resumed.
+    pub checkpoints: bool,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// Whether it claims its team's guarantee and may preempt borrowers.
+    pub urgent: bool,
+    /// Attempts made so far.
+    pub attempt: u32,
+    /// When it was accepted; aging counts from here.
+    pub since: Millis,
+}
+
+/// A job that holds seats, as found when a planner takes over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunningJob {
+    /// The job as it was queued.
+    pub job: QueuedJob,
+    /// One seat for each member.
+    pub seats: Vec<Seat>,
+    /// Whether the seats lie in the team's guarantee.
+    pub guaranteed: bool,
+    /// When it started.
+    pub started: Millis,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EndKind {
+    /// All members finished.
+    Completed,
+    /// A member failed; `worker` of the event is where.
+    Failed,
+    /// Stopped on the core's decision; it will be queued again if it is to go on.
+    Stopped,
+    /// Its caller ended it.
+    Cancelled,
+    /// A worker was lost under it.
+    Lost,
+}
+
+/// What has happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// The teams and their guarantees in this pool are now these.
+    Teams(BTreeMap<TeamName, Team>),
+    /// A worker joined, or came back.
+    WorkerUp(WorkerSpec),
+    /// A worker gets nothing new; what runs there goes on.
+    WorkerLeaving(WorkerName),
+    /// A worker is gone; its jobs are reported by `Ended` one by one.
+    WorkerDown(WorkerName),
+    /// A job was accepted, or is to run again.
+    Queued(QueuedJob),
+    /// A job holds seats from before this planner.
+    Recovered(RunningJob),
+    /// A placed job has started on all its seats.
+    Started {
+        /// The job.
+        job: JobId,
+    },
+    /// A decided placement was not carried out; the seats are free and the job waits again.
+    Unplaced {
+        /// The job.
+        job: JobId,
+        /// Worker that refused, if one did.
+        worker: Option<WorkerName>,
+    },
+    /// A job that held seats ended and its seats are free.
+    Ended {
+        /// The job.
+        job: JobId,
+        /// How.
+        kind: EndKind,
+        /// Worker that is to blame, or was lost.
+        worker: Option<WorkerName>,
+    },
+    /// A waiting job is no longer wanted.
+    Withdrawn(JobId),
+    /// A job's team overran or a caller changed nothing; its usage was reported.
+    Usage {
+        /// The job.
+        job: JobId,
+        /// Cores in use over all members.
+        cores: f64,
+    },
+}
--- /dev/null
+++ b/src/plan/mod.rs
@@ -0,0 +1,13 @@
+//! The decision core: guarantees, order, placement and preemption for one pool.
+//!
+//! It is pure. [`Event`]s say what has happened, [`Policy::decide`] returns what to do next. The caller carries the
+//! decisions out and reports back with further events; a decision that could not be carried out is reported as
+//! [`Event::Unplaced`]. Time comes in with each call.
+
+mod decision;
+mod event;
+mod policy;
+
+pub use decision::{Decision, StopReason};
+pub use event::{EndKind, Event, QueuedJob, RunningJob, WorkerSpec};
+pub use policy::{Policy, Weights};
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,19 @@
+//! What the platform gives, as traits, and the adapters that speak to it.
+//!
+//! Nothing outside this module knows the platform's wire format. Every transaction and worker command names the
+//! [`Step`] that it belongs to: the write limiter takes its priority from the step, metrics count by it, and fakes
+//! inject faults before or after it.
+
+mod listing;
+mod objects;
+mod step;
+mod table;
+mod worker;
+
+pub use listing::{Address, Listed, ListedInstance, ListedWorker, Listing, ListingError, Presence};
+pub use objects::{ObjectError, Objects};
+pub use step::{Priority, Step};
+pub use table::{Check, Key, OpId, Page, Put, Row, Table, TableError, Txn, Version};
+pub use worker::{
+    Action, Batch, CallPart, CallRequest, Command, Refusal, Reply, Report, TaskReport, TaskState, WorkerError, Workers,
+};
--- /dev/null
+++ b/src/platform/step.rs
@@ -0,0 +1,118 @@
+//! Named steps of the life cycles.
+
+use serde::{Deserialize, Serialize};
+
+/// Urgency of a write when the budget is short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Priority {
+    /// Leases, fencing and outcomes.
+    High,
+    /// Accepts, placements and tickets.
+    Normal,
+    /// Anything that can wait.
+    Low,
+}
+
+/// Boundary in the life cycle of a call, a batch job, a ticket or a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Step {
+    /// Instance joins or renews its session.
+    Renew,
+    /// Instance gives up its session.
+    Leave,
+    /// Instance takes over a pool.
+    Takeover,
+    /// Batch job is written as queued.
+    Accept,
+    /// Caller's wish to cancel is written.
+    Cancel,
+    /// Batch job gets its seats.
+    Place,
+    /// Member is asked to hold its seat.
+    Prepare,
+    /// All members hold; the job is written as running.
+    Run,
+    /// Member is told to start.
+    Release,
+    /// Task leases are renewed.
+    RenewTasks,
+    /// Task is asked for a checkpoint.
+    Checkpoint,
+    /// Task is told to stop.
+    Stop,
+    /// Task is throttled.
+    Throttle,
+    /// Worker is asked to refuse an attempt.
+    Refuse,
+    /// Worker may drop what it keeps of an ended attempt.
+    Forget,
+    /// Preempted or undone job returns to the queue.
+    Requeue,
+    /// Outcome is written.
+    End,
+    /// Worker's quarantine is written.
+    Quarantine,
+    /// Non-idempotent call is written before it is sent.
+    Open,
+    /// Call is sent to a worker.
+    Send,
+    /// Outcome of a non-idempotent call is written.
+    Close,
+    /// Ticket is written as pending, with head and objects.
+    Pending,
+    /// Ticket is written as accepted.
+    Accepted,
+    /// Rows are read.
+    Read,
+    /// Worker is asked for its report.
+    Report,
+    /// List of instances and workers is read.
+    List,
+    /// Object is written or read.
+    Object,
+}
+
+impl Step {
+    /// Urgency of the step's writes.
+    pub fn priority(self) -> Priority {
+        match self {
+            Self::Renew | Self::Takeover | Self::Run | Self::End | Self::Close | Self::Accepted => Priority::High,
+            Self::Quarantine | Self::Leave => Priority::Low,
+            _ => Priority::Normal,
+        }
+    }
+
+    /// Name for metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Renew => "renew",
+            Self::Leave => "leave",
+            Self::Takeover => "takeover",
+            Self::Accept => "accept",
+            Self::Cancel => "cancel",
+            Self::Place => "place",
+            Self::Prepare => "prepare",
+            Self::Run => "run",
+            Self::Release => "release",
+            Self::RenewTasks => "renew_tasks",
+            Self::Checkpoint => "checkpoint",
+            Self::Stop => "stop",
+            Self::Throttle => "throttle",
+            Self::Refuse => "refuse",
+            Self::Forget => "forget",
+            Self::Requeue => "requeue",
+            Self::End => "end",
+            Self::Quarantine => "quarantine",
+            Self::Open => "open",
+            Self::Send => "send",
+            Self::Close => "close",
+            Self::Pending => "pending",
+            Self::Accepted => "accepted",
+            Self::Read => "read",
+            Self::Report => "report",
+            Self::List => "list",
+            Self::Object => "object",
+        }
+    }
+}
--- /dev/null
+++ b/src/team/pool.rs
@@ -0,0 +1,18 @@
+//! Pools of racks that are planned together.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::{DomainName, RackName};
+
+/// A pool: all racks of its domains, or the named racks among them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Failure domains that the pool spans.
+    pub domains: BTreeSet<DomainName>,
+    /// Racks in it; empty means all racks of the domains.
+    #[serde(default)]
+    pub racks: BTreeSet<RackName>,
+}
--- /dev/null
+++ b/standin/src/table.rs
@@ -0,0 +1,129 @@
+//! The platform's table and object store, in memory.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use yuccaridge::platform::{Key, ObjectError, Objects, Page, Row, Table, TableError, Txn, Version};
+
+/// Counts of what the table was asked for.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Transactions carried out.
+    pub commits: u64,
+    /// Transactions refused because a check did not hold.
+    pub conflicts: u64,
+    /// Rows written or removed.
+    pub writes: u64,
+    /// Requests that read.
+    pub reads: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<Key, Row>,
+    version: Version,
+    usage: Usage,
+}
+
+/// Transactional table in memory.
+#[derive(Debug, Default)]
+pub struct MemoryTable(Mutex<State>);
+
+impl MemoryTable {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the table was asked for so far.
+    pub fn usage(&self) -> Usage {
+        self.state().usage
+    }
+}
+
+impl Table for MemoryTable {
+    fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, TableError> {
+        let mut state = self.state();
+        state.usage.reads += 1;
+        Ok(keys.iter().map(|key| state.rows.get(key).cloned()).collect())
+    }
+
+    fn scan(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page, TableError> {
+        let mut state = self.state();
+        state.usage.reads += 1;
+        let start = match after {
+            Some(key) => Bound::Excluded(key),
+            None => Bound::Included(prefix),
+        };
+        let mut rows = Vec::new();
+        for (key, row) in state.rows.range::<str, _>((start, Bound::Unbounded)) {
+            if !key.starts_with(prefix) {
+                break;
+            }
+            if rows.len() == limit {
+                let next = rows.last().map(|row: &Row| row.key.clone());
+                return Ok(Page { rows, next });
+            }
+            rows.push(row.clone());
+        }
+        Ok(Page { rows, next: None })
+    }
+
+    fn commit(&self, txn: &Txn) -> Result<Version, TableError> {
+        let mut state = self.state();
+        for check in &txn.checks {
+            let found = state.rows.get(&check.key).map_or(0, |row| row.version);
+            if found != check.version {
+                state.usage.conflicts += 1;
+                return Err(TableError::Conflict {
+                    key: check.key.clone(),
+                    expected: check.version,
+                    found,
+                });
+            }
+        }
+        state.version += 1;
+        state.usage.commits += 1;
+        state.usage.writes += txn.puts.len() as u64;
+        let version = state.version;
+        for put in &txn.puts {
+            match &put.value {
+                Some(value) => {
+                    let row = Row {
+                        key: put.key.clone(),
+                        version,
+                        op: txn.op.clone(),
+                        value: value.clone(),
+                    };
+                    state.rows.insert(put.key.clone(), row);
+                }
+                None => {
+                    state.rows.remove(&put.key);
+                }
+            }
+        }
+        Ok(version)
+    }
+}
+
+/// Object store in memory.
+#[derive(Debug, Default)]
+pub struct MemoryObjects(Mutex<BTreeMap<String, Vec<u8>>>);
+
+impl Objects for MemoryObjects {
+    fn put(&self, name: &str, bytes: &[u8]) -> Result<(), ObjectError> {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(name.to_owned(), bytes.to_vec());
+        Ok(())
+    }
+
+    fn get(&self, name: &str) -> Result<Vec<u8>, ObjectError> {
+        let objects = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        objects
+            .get(name)
+            .cloned()
+            .ok_or_else(|| ObjectError::Absent(name.to_owned()))
+    }
+}
--- /dev/null
+++ b/standin/src/worker.rs
@@ -0,0 +1,476 @@
+//! A worker as a state machine: holds places, runs scripted tasks under leases, keeps a record.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use yuccaridge::name::{JobId, PoolName};
+use yuccaridge::platform::{
+    Action, Batch, CallPart, CallRequest, Command, ListedWorker, Refusal, Reply, Report, TaskReport, TaskState,
+    WorkerError,
+};
+use yuccaridge::time::Millis;
+
+use crate::record::{Deed, Entry};
+use crate::script::Script;
+
+/// Lease of a task that was never renewed.
+const FIRST_LEASE: Millis = Millis::from_secs(30);
+
+#[derive(Debug, Clone)]
+struct Task {
+    pool: PoolName,
+    state: TaskState,
+    script: Script,
+    cores: u32,
+    memory_mb: u64,
+    accelerators: Vec<u16>,
+    members: u16,
+    resumed: bool,
+    /// Work left, at speed 1, when it last started.
+    left_ms: u64,
+    started: Millis,
+    lease_end: Millis,
+    /// Set while it stops: when, and the checkpoint to write.
+    stopping: Option<(Millis, Option<String>)>,
+}
+
+impl Task {
+    fn is_active(&self) -> bool {
+        matches!(self.state, TaskState::Held | TaskState::Running | TaskState::Stopping)
+    }
+}
+
+type TaskKey = (JobId, u32, u16);
+
+#[derive(Debug, Clone)]
+struct Call {
+    /// When it ends and with which parts.
+    end: Millis,
+    parts: Vec<CallPart>,
+}
+
+/// One worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    listed: ListedWorker,
+    speed: f64,
+    boot: u64,
+    alive: bool,
+    fails_all: bool,
+    epochs: BTreeMap<PoolName, u64>,
+    tasks: BTreeMap<TaskKey, Task>,
+    refused: BTreeSet<(JobId, u32)>,
+    calls: BTreeMap<(JobId, u32), Call>,
+    /// Work left at each checkpoint, by object.
+    checkpoints: BTreeMap<String, u64>,
+    record: Vec<Entry>,
+}
+
+impl Worker {
+    /// A worker that has just started.
+    pub fn new(listed: ListedWorker, speed: f64) -> Self {
+        Self {
+            listed,
+            speed,
+            boot: 1,
+            alive: true,
+            fails_all: false,
+            epochs: BTreeMap::new(),
+            tasks: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            calls: BTreeMap::new(),
+            checkpoints: BTreeMap::new(),
+            record: Vec::new(),
+        }
+    }
+
+    /// What the list says about it.
+    pub fn listed(&self) -> &ListedWorker {
+        &self.listed
+    }
+
+    /// Changes what the list says about it.
+    pub fn listed_mut(&mut self) -> &mut ListedWorker {
+        &mut self.listed
+    }
+
+    /// Whether it answers.
+    pub fn is_alive(&self) -> bool {
+        self.alive
+    }
+
+    /// Makes it fail everything that it starts, or stop doing so.
+    pub fn set_fails_all(&mut self, fails_all: bool) {
+        self.fails_all = fails_all;
+    }
+
+    /// What it did.
+    pub fn record(&self) -> &[Entry] {
+        &self.record
+    }
+
+    /// Ends it and all that runs on it.
+    pub fn kill(&mut self, now: Millis) {
+        self.advance(now);
+        self.alive = false;
+        let active: Vec<_> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.is_active())
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in active {
+            self.note(now, &key, Deed::Died);
+        }
+        self.tasks.clear();
+        self.calls.clear();
+        self.refused.clear();
+        self.epochs.clear();
+    }
+
+    /// Starts it again, with nothing remembered.
+    pub fn restart(&mut self, now: Millis) {
+        self.kill(now);
+        self.alive = true;
+        self.boot += 1;
+    }
+
+    /// Moves on to `now`: ends work that is done and leases that have lapsed.
+    pub fn advance(&mut self, now: Millis) {
+        let keys: Vec<_> = self.tasks.keys().cloned().collect();
+        for key in keys {
+            self.advance_task(now, &key);
+        }
+    }
+
+    fn advance_task(&mut self, now: Millis, key: &TaskKey) {
+        let Some(task) = self.tasks.get_mut(key) else { return };
+        if !task.is_active() {
+            return;
+        }
+        let ran = task.state != TaskState::Held;
+        let done = task.started + Millis((task.left_ms as f64 / self.speed) as u64);
+        let stop_at = task
+            .stopping
+            .as_ref()
+            .map_or(task.lease_end, |(at, _)| (*at).min(task.lease_end));
+        if ran && done <= now && done <= stop_at {
+            let failure = task
+                .script
+                .fail
+                .clone()
+                .or_else(|| self.fails_all.then(|| "worker is broken".to_owned()));
+            let deed = if failure.is_some() {
+                Deed::Failed
+            } else {
+                Deed::Finished
+            };
+            task.state = match failure {
+                Some(reason) => TaskState::Failed { reason },
+                None => TaskState::Finished {
+                    answer: task.script.answer.clone(),
+                },
+            };
+            self.note(done, key, deed);
+            return;
+        }
+        if stop_at > now {
+            return;
+        }
+        let lapsed = task.lease_end <= stop_at;
+        let mut checkpoint = None;
+        if let Some((_, Some(object))) = task.stopping.take()
+            && !lapsed
+        {
+            let worked = (stop_at.since(task.started).0 as f64 * self.speed) as u64;
+            self.checkpoints
+                .insert(object.clone(), task.left_ms.saturating_sub(worked));
+            checkpoint = Some(object);
+        }
+        task.state = TaskState::Stopped { checkpoint, ran };
+        self.note(stop_at, key, if lapsed { Deed::Lapsed } else { Deed::Stopped });
+    }
+
+    fn note(&mut self, at: Millis, key: &TaskKey, deed: Deed) {
+        let (members, resumed) = self
+            .tasks
+            .get(key)
+            .map_or((1, false), |task| (task.members, task.resumed));
+        self.record.push(Entry {
+            at,
+            worker: self.listed.name.clone(),
+            job: key.0.clone(),
+            attempt: key.1,
+            member: key.2,
+            members,
+            resumed,
+            deed,
+        });
+    }
+
+    /// Carries out a batch.
+    pub fn command(&mut self, now: Millis, batch: &Batch) -> Vec<Reply> {
+        self.advance(now);
+        if batch.boot.is_some_and(|boot| boot != self.boot) {
+            return batch
+                .commands
+                .iter()
+                .map(|_| Reply::Rebooted { boot: self.boot })
+                .collect();
+        }
+        let newest = self.epochs.entry(batch.pool.clone()).or_default();
+        if batch.epoch < *newest {
+            let epoch = *newest;
+            return batch.commands.iter().map(|_| Reply::Stale { epoch }).collect();
+        }
+        *newest = batch.epoch;
+        if let Some(lease_ms) = batch.renew_ms {
+            for task in self
+                .tasks
+                .values_mut()
+                .filter(|task| task.pool == batch.pool && task.is_active())
+            {
+                task.lease_end = now + Millis(lease_ms);
+            }
+        }
+        let lease = batch.renew_ms.map_or(FIRST_LEASE, Millis);
+        batch
+            .commands
+            .iter()
+            .map(|command| self.carry_out(now, &batch.pool, lease, command))
+            .collect()
+    }
+
+    fn carry_out(&mut self, now: Millis, pool: &PoolName, lease: Millis, command: &Command) -> Reply {
+        let key = (command.job.clone(), command.attempt, command.member);
+        let attempt = (command.job.clone(), command.attempt);
+        if let Action::Prepare { .. } = command.action {
+            if self.refused.contains(&attempt) {
+                return Reply::Task {
+                    state: TaskState::Refused,
+                };
+            }
+            if !self.tasks.contains_key(&key)
+                && let Some(refusal) = self.prepare(now, pool, lease, &key, &command.action)
+            {
+                return refusal;
+            }
+        }
+        if command.action == Action::Refuse || command.action == Action::Forget {
+            self.refused.insert(attempt);
+        }
+        let Some(task) = self.tasks.get_mut(&key) else {
+            return match command.action {
+                Action::Refuse | Action::Forget => Reply::Task {
+                    state: TaskState::Refused,
+                },
+                _ => Reply::Absent,
+            };
+        };
+        match (&command.action, &task.state) {
+            (Action::Release, TaskState::Held) => {
+                task.state = TaskState::Running;
+                task.started = now;
+                self.note(now, &key, Deed::Started);
+                self.advance_task(now, &key);
+            }
+            (Action::Stop { .. } | Action::Refuse, TaskState::Held) => {
+                task.state = match command.action {
+                    Action::Refuse => TaskState::Refused,
+                    _ => TaskState::Stopped {
+                        checkpoint: None,
+                        ran: false,
+                    },
+                };
+                self.note(now, &key, Deed::Refused);
+            }
+            (Action::Stop { checkpoint, grace_ms }, TaskState::Running) => {
+                let fits = checkpoint.is_some() && task.script.checkpoint_ms <= *grace_ms;
+                let wait = if checkpoint.is_some() {
+                    task.script.checkpoint_ms.min(*grace_ms)
+                } else {
+                    0
+                };
+                task.state = TaskState::Stopping;
+                task.stopping = Some((now + Millis(wait), checkpoint.clone().filter(|_| fits)));
+                self.advance_task(now, &key);
+            }
+            (Action::Checkpoint { object }, TaskState::Running) => {
+                let worked = (now.since(task.started).0 as f64 * self.speed) as u64;
+                self.checkpoints
+                    .insert(object.clone(), task.left_ms.saturating_sub(worked));
+            }
+            (Action::Forget, state) if !matches!(state, TaskState::Running | TaskState::Stopping) => {
+                let state = state.clone();
+                if task.is_active() {
+                    self.note(now, &key, Deed::Refused);
+                }
+                self.tasks.remove(&key);
+                return Reply::Task { state };
+            }
+            _ => {}
+        }
+        Reply::Task {
+            state: self.tasks[&key].state.clone(),
+        }
+    }
+
+    fn prepare(
+        &mut self,
+        now: Millis,
+        pool: &PoolName,
+        lease: Millis,
+        key: &TaskKey,
+        action: &Action,
+    ) -> Option<Reply> {
+        let Action::Prepare {
+            cores,
+            memory_mb,
+            accelerators,
+            members,
+            payload,
+            checkpoint,
+            ..
+        } = action
+        else {
+            return None;
+        };
+        if let Some(reason) = self.shortage(*cores, *memory_mb, accelerators) {
+            return Some(Reply::Busy { reason });
+        }
+        let script = Script::read(payload);
+        let left_ms = checkpoint
+            .as_ref()
+            .and_then(|object| self.checkpoints.get(object))
+            .copied();
+        let task = Task {
+            pool: pool.clone(),
+            state: TaskState::Held,
+            left_ms: left_ms.unwrap_or(script.work_ms),
+            script,
+            cores: *cores,
+            memory_mb: *memory_mb,
+            accelerators: accelerators.clone(),
+            members: *members,
+            resumed: checkpoint.is_some(),
+            started: now,
+            lease_end: now + lease,
+            stopping: None,
+        };
+        self.tasks.insert(key.clone(), task);
+        self.note(now, key, Deed::Held);
+        None
+    }
+
+    fn shortage(&self, cores: u32, memory_mb: u64, accelerators: &[u16]) -> Option<String> {
+        let active = || self.tasks.values().filter(|task| task.is_active());
+        if active().count() >= usize::from(self.listed.slots) {
+            return Some("no free slot".to_owned());
+        }
+        if active().map(|task| task.cores).sum::<u32>() + cores > self.listed.cores {
+            return Some("too few free cores".to_owned());
+        }
+        if active().map(|task| task.memory_mb).sum::<u64>() + memory_mb > self.listed.memory_mb {
+            return Some("too little free memory".to_owned());
+        }
+        for index in accelerators {
+            if *index >= self.listed.accelerators {
+                return Some(format!("there is no accelerator {index}"));
+            }
+            if active().any(|task| task.accelerators.contains(index)) {
+                return Some(format!("accelerator {index} is taken"));
+            }
+        }
+        None
+    }
+
+    /// Reports its tasks.
+    pub fn report(&mut self, now: Millis) -> Report {
+        self.advance(now);
+        let tasks = self.tasks.iter().map(|((job, attempt, member), task)| TaskReport {
+            pool: task.pool.clone(),
+            job: job.clone(),
+            attempt: *attempt,
+            member: *member,
+            state: task.state.clone(),
+            cores: f64::from(task.cores),
+            memory_mb: task.memory_mb,
+        });
+        Report {
+            worker: self.listed.name.clone(),
+            boot: self.boot,
+            tasks: tasks.collect(),
+            calls: self.calls.values().filter(|call| call.end > now).count() as u16,
+            lag_ms: 0,
+        }
+    }
+
+    /// Starts a call; when it ends, and the parts of its answer.
+    pub fn call(&mut self, now: Millis, call: &CallRequest) -> Result<(Millis, Vec<CallPart>), WorkerError> {
+        let key = (call.job.clone(), call.attempt);
+        if self.refused.contains(&key) {
+            return Err(WorkerError::Refused);
+        }
+        if let Some(known) = self.calls.get(&key) {
+            return Ok((known.end, known.parts.clone()));
+        }
+        let running = self.calls.values().filter(|call| call.end > now).count();
+        let held = self.tasks.values().filter(|task| task.is_active()).count();
+        if running + held >= usize::from(self.listed.slots) {
+            return Err(WorkerError::Full);
+        }
+        let script = Script::read(&call.payload);
+        let end = now + Millis((script.work_ms as f64 / self.speed) as u64);
+        let failure = script
+            .fail
+            .or_else(|| self.fails_all.then(|| "worker is broken".to_owned()));
+        let count = if failure.is_some() { 1 } else { script.parts.max(1) };
+        let parts: Vec<_> = (0..count)
+            .map(|sequence| CallPart {
+                job: call.job.clone(),
+                attempt: call.attempt,
+                sequence,
+                last: sequence + 1 == count,
+                failed: failure.is_some(),
+                data: failure
+                    .clone()
+                    .map_or_else(|| script.answer.clone(), serde_json::Value::String),
+            })
+            .collect();
+        let task = (call.job.clone(), call.attempt, 0);
+        self.note(now, &task, Deed::Started);
+        self.note(
+            end,
+            &task,
+            if failure.is_some() {
+                Deed::Failed
+            } else {
+                Deed::Finished
+            },
+        );
+        self.calls.insert(
+            key,
+            Call {
+                end,
+                parts: parts.clone(),
+            },
+        );
+        Ok((end, parts))
+    }
+
+    /// Refuses an attempt of a call unless it has started.
+    pub fn refuse(&mut self, now: Millis, job: &JobId, attempt: u32) -> Refusal {
+        let key = (job.clone(), attempt);
+        match self.calls.get(&key) {
+            Some(call) if call.end > now => Refusal::Running,
+            Some(call) => Refusal::Ended {
+                parts: call.parts.clone(),
+            },
+            None => {
+                if self.refused.insert(key) {
+                    self.note(now, &(job.clone(), attempt, 0), Deed::Refused);
+                }
+                Refusal::Refused
+            }
+        }
+    }
+}
