--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 //! decisions come out. Controllers are driven by `step(now)` and reach the outside only through the traits in
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
+pub mod api;
 pub mod job;
 pub mod name;
 pub mod plan;
 pub mod platform;
+pub mod row;
 pub mod team;
 pub mod time;
--- /dev/null
+++ b/src/row/key.rs
@@ -0,0 +1,73 @@
+//! Keys.
+
+use std::fmt::Display;
+
+use crate::name::{InstanceName, JobId, PoolName, WorkerName};
+use crate::platform::Key;
+
+/// Prefix of all session rows.
+pub const SESSIONS: &str = "session/";
+/// Prefix of all configuration rows.
+pub const CONFIG: &str = "config/";
+/// Row with the number of the newest ticket.
+pub const HEAD: &str = "ticket/head";
+/// Prefix of all ticket log rows.
+pub const LOG: &str = "ticket/log/";
+
+/// Session of an instance.
+pub fn session(instance: &InstanceName) -> Key {
+    format!("{SESSIONS}{instance}")
+}
+
+/// Holder of a pool.
+pub fn pool(pool: &PoolName) -> Key {
+    format!("pool/{pool}")
+}
+
+/// Prefix of a pool's workers.
+pub fn workers(pool: &PoolName) -> Key {
+    format!("worker/{pool}/")
+}
+
+/// A worker in a pool.
+pub fn worker(pool: &PoolName, worker: &WorkerName) -> Key {
+    format!("worker/{pool}/{worker}")
+}
+
+/// A job.
+pub fn job(id: &JobId) -> Key {
+    format!("job/{id}")
+}
+
+/// Prefix of a pool's batch jobs that have not ended.
+pub fn queue(pool: &PoolName) -> Key {
+    format!("queue/{pool}/")
+}
+
+/// Mark of a batch job that has not ended.
+pub fn queued(pool: &PoolName, id: &JobId) -> Key {
+    format!("queue/{pool}/{id}")
+}
+
+/// Prefix of the non-idempotent calls that an instance has in flight.
+pub fn opens(instance: &InstanceName) -> Key {
+    format!("open/{instance}/")
+}
+
+/// Mark of a non-idempotent call in flight.
+pub fn open(instance: &InstanceName, id: &JobId) -> Key {
+    format!("open/{instance}/{id}")
+}
+
+/// Log of a ticket; numbers are padded so that keys sort by number.
+pub fn log(number: u64) -> Key {
+    format!("{LOG}{number:020}")
+}
+
+/// An object of the configuration; `sort` is `team`, `kind` or `pool`.
+pub fn object<T>(sort: &str, name: &T) -> Key
+where
+    T: Display,
+{
+    format!("{CONFIG}{sort}/{name}")
+}
--- /dev/null
+++ b/src/row/mod.rs
@@ -0,0 +1,16 @@
+//! Keys of the table and the typed content of its rows.
+//!
+//! A job's row is [`crate::job::JobRow`]. Every other row has its type here, and every key is built here.
+
+mod head;
+pub mod key;
+mod op;
+mod pool;
+mod session;
+mod worker;
+
+pub use head::{HeadRow, LogRow, ObjectRow, TicketState};
+pub use op::OpIds;
+pub use pool::PoolRow;
+pub use session::SessionRow;
+pub use worker::{Held, WorkerRow};
--- a/src/team/mod.rs
+++ b/src/team/mod.rs
@@ -1,11 +1,13 @@
 //! Teams, their guarantees, kinds of jobs and pools: the objects that change tickets set.
 
+mod catalog;
 mod guarantee;
 mod kind;
 mod object;
 mod pool;
 mod quota;
 
+pub use catalog::Catalog;
 pub use guarantee::{Guarantee, Level};
 pub use kind::Kind;
 pub use object::Object;
