--- /dev/null
+++ b/src/platform/http/client.rs
@@ -0,0 +1,140 @@
+//! One HTTP request and its answer, with bounds on time and size.
+
+use std::cell::Cell;
+use std::io::Read;
+
+use attohttpc::header::CONTENT_LENGTH;
+use attohttpc::{ProxySettings, RequestBuilder, Response, Session};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use super::Timeouts;
+use super::sent_body::SentBody;
+use super::wire::{ErrorBody, ErrorCode};
+use crate::platform::Address;
+
+/// Largest answer, in bytes. A page of 1,000 job rows at the target size stays below a tenth of it.
+const ANSWER_BYTES_MAX: u64 = 64 << 20;
+/// Largest error answer that is looked into, in bytes.
+const ERROR_BYTES_MAX: u64 = 64 << 10;
+
+/// Failure of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub(super) enum SendError {
+    /// No connection was made; nothing was sent.
+    #[error("{0}")]
+    Unsent(String),
+    /// The other side refuses, with a reason that it states itself.
+    #[error("{}", .0.message)]
+    Refused(ErrorBody),
+    /// The request was sent at least in part, and no answer that makes sense came back.
+    #[error("{0}")]
+    Lost(String),
+}
+
+impl SendError {
+    /// The code that the other side gave, if it gave one.
+    pub fn code(&self) -> Option<&ErrorCode> {
+        match self {
+            Self::Refused(body) => Some(&body.code),
+            _ => None,
+        }
+    }
+}
+
+/// Sends requests.
+#[derive(Debug)]
+pub(super) struct Client(Session);
+
+impl Client {
+    pub fn new(timeouts: Timeouts) -> Self {
+        let mut session = Session::new();
+        session.connect_timeout(timeouts.connect.duration());
+        session.read_timeout(timeouts.read.duration());
+        session.timeout(timeouts.total().duration());
+        // A redirect would repeat a request elsewhere, and a proxy would answer in the place of the other side.
+        session.follow_redirects(false);
+        session.proxy_settings(ProxySettings::builder().build());
+        Self(session)
+    }
+
+    /// A `GET` request.
+    pub fn get(&self, address: Address, path: &str) -> RequestBuilder {
+        self.0.get(format!("http://{address}{path}"))
+    }
+
+    /// A `POST` request.
+    pub fn post(&self, address: Address, path: &str) -> RequestBuilder {
+        self.0.post(format!("http://{address}{path}"))
+    }
+
+    /// A `PUT` request.
+    pub fn put(&self, address: Address, path: &str) -> RequestBuilder {
+        self.0.put(format!("http://{address}{path}"))
+    }
+
+    /// Posts JSON and reads JSON.
+    pub fn exchange<A, B>(&self, address: Address, path: &str, body: &A) -> Result<B, SendError>
+    where
+        A: Serialize,
+        B: DeserializeOwned,
+    {
+        let bytes = serde_json::to_vec(body).map_err(|error| SendError::Unsent(error.to_string()))?;
+        read_json(send(self.post(address, path), &bytes)?)
+    }
+}
+
+/// Sends a request; its answer if the status says success.
+pub(super) fn send(request: RequestBuilder, bytes: &[u8]) -> Result<Response, SendError> {
+    let sent = Cell::new(false);
+    let answer = request.body(SentBody { bytes, sent: &sent }).send();
+    let answer = answer.map_err(|error| {
+        if sent.get() {
+            SendError::Lost(error.to_string())
+        } else {
+            SendError::Unsent(error.to_string())
+        }
+    })?;
+    let status = answer.status();
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let body = read_bytes(answer, ERROR_BYTES_MAX)?;
+    match serde_json::from_slice::<ErrorBody>(&body) {
+        Ok(body) => Err(SendError::Refused(body)),
+        Err(_) => Err(SendError::Lost(format!("answered with status {status}"))),
+    }
+}
+
+/// Reads an answer to its end; one that was cut or is too long is lost.
+pub(super) fn read_all(answer: Response) -> Result<Vec<u8>, SendError> {
+    read_bytes(answer, ANSWER_BYTES_MAX)
+}
+
+/// Reads an answer as JSON.
+pub(super) fn read_json<B>(answer: Response) -> Result<B, SendError>
+where
+    B: DeserializeOwned,
+{
+    let bytes = read_all(answer)?;
+    serde_json::from_slice(&bytes).map_err(|error| SendError::Lost(format!("answer is not as expected: {error}")))
+}
+
+fn read_bytes(answer: Response, limit: u64) -> Result<Vec<u8>, SendError> {
+    let length = answer.headers().get(CONTENT_LENGTH).cloned();
+    let mut bytes = Vec::new();
+    let mut reader = answer.split().2.take(limit + 1);
+    reader
+        .read_to_end(&mut bytes)
+        .map_err(|error| SendError::Lost(error.to_string()))?;
+    if bytes.len() as u64 > limit {
+        return Err(SendError::Lost(format!("answer is longer than {limit} bytes")));
+    }
+    // attohttpc takes the end of the connection for the end of the body, even before the announced length.
+    let announced = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    if announced.is_some_and(|announced| announced != bytes.len()) {
+        return Err(SendError::Lost("answer was cut".to_owned()));
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/src/platform/http/workers.rs
@@ -0,0 +1,101 @@
+//! The workers over HTTP.
+
+use std::io::{BufRead, BufReader, Read};
+
+use attohttpc::Response;
+
+use super::Timeouts;
+use super::client::{Client, SendError, read_json, send};
+use super::wire::{ErrorCode, RefuseBody};
+use crate::name::JobId;
+use crate::platform::{Address, Batch, CallPart, CallRequest, Refusal, Reply, Report, WorkerError, Workers};
+use crate::time::Millis;
+
+/// Longest line of a call's answer, in bytes.
+const PART_BYTES_MAX: u64 = 16 << 20;
+/// Longest answer to a call, in bytes.
+const CALL_BYTES_MAX: u64 = 64 << 20;
+
+/// The workers over HTTP.
+#[derive(Debug)]
+pub struct HttpWorkers {
+    client: Client,
+}
+
+impl HttpWorkers {
+    /// Workers at any address; a call has the time limit that its caller gives.
+    pub fn new(timeouts: Timeouts) -> Self {
+        Self {
+            client: Client::new(timeouts),
+        }
+    }
+}
+
+impl Workers for HttpWorkers {
+    fn command(&self, address: Address, batch: &Batch) -> Result<Vec<Reply>, WorkerError> {
+        let replies: Vec<Reply> = self
+            .client
+            .exchange(address, "/v1/commands", batch)
+            .map_err(worker_error)?;
+        if replies.len() != batch.commands.len() {
+            return Err(WorkerError::Lost("the number of replies is wrong".to_owned()));
+        }
+        Ok(replies)
+    }
+
+    fn report(&self, address: Address) -> Result<Report, WorkerError> {
+        send(self.client.get(address, "/v1/report"), &[])
+            .and_then(read_json)
+            .map_err(worker_error)
+    }
+
+    fn call(&self, address: Address, call: &CallRequest, timeout: Millis) -> Result<Vec<CallPart>, WorkerError> {
+        let bytes = serde_json::to_vec(call).map_err(|error| WorkerError::Unreached(error.to_string()))?;
+        let request = self
+            .client
+            .post(address, &format!("/v1/calls/{}", call.job))
+            .read_timeout(timeout.duration())
+            .timeout(timeout.duration());
+        read_parts(send(request, &bytes).map_err(worker_error)?)
+    }
+
+    fn refuse(&self, address: Address, job: &JobId, attempt: u32) -> Result<Refusal, WorkerError> {
+        self.client
+            .exchange(address, &format!("/v1/calls/{job}/refuse"), &RefuseBody { attempt })
+            .map_err(worker_error)
+    }
+}
+
+/// Reads parts until the stream ends, breaks or stops to make sense.
+fn read_parts(answer: Response) -> Result<Vec<CallPart>, WorkerError> {
+    let mut reader = BufReader::new(answer.split().2.take(CALL_BYTES_MAX));
+    let mut parts = Vec::new();
+    let reason = loop {
+        let mut line = Vec::new();
+        match reader.by_ref().take(PART_BYTES_MAX).read_until(b'\n', &mut line) {
+            Ok(0) => break "no part of the answer arrived".to_owned(),
+            Ok(_) => {}
+            Err(error) => break error.to_string(),
+        }
+        match serde_json::from_slice(&line) {
+            Ok(part) => parts.push(part),
+            Err(error) => break format!("part cannot be read: {error}"),
+        }
+    };
+    if parts.is_empty() {
+        return Err(WorkerError::Lost(reason));
+    }
+    Ok(parts)
+}
+
+fn worker_error(error: SendError) -> WorkerError {
+    match error {
+        SendError::Unsent(reason) => WorkerError::Unreached(reason),
+        SendError::Lost(reason) => WorkerError::Lost(reason),
+        SendError::Refused(body) => match body.code {
+            ErrorCode::Full => WorkerError::Full,
+            ErrorCode::Refused => WorkerError::Refused,
+            _ => WorkerError::Lost(body.message),
+        },
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! [`Step`] that it belongs to: the write limiter takes its priority from the step, metrics count by it, and fakes
 //! inject faults before or after it.
 
+pub mod http;
 mod listing;
 mod objects;
 mod step;
--- /dev/null
+++ b/standin/src/command/mod.rs
@@ -0,0 +1,35 @@
+//! The subcommands.
+
+mod platform;
+mod worker;
+
+use clap::Subcommand;
+use miette::{IntoDiagnostic, Result};
+use signal_hook::consts::TERM_SIGNALS;
+use signal_hook::iterator::Signals;
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve the table, the object store and the list.
+    Platform(platform::PlatformOptions),
+    /// Serve one or more workers.
+    Worker(worker::WorkerOptions),
+}
+
+impl Command {
+    /// Does it.
+    pub fn run(&self) -> Result<()> {
+        match self {
+            Self::Platform(options) => options.run(),
+            Self::Worker(options) => options.run(),
+        }
+    }
+}
+
+/// Waits until the process is told to end.
+fn wait_for_end() -> Result<()> {
+    let mut signals = Signals::new(TERM_SIGNALS).into_diagnostic()?;
+    signals.forever().next();
+    Ok(())
+}
--- /dev/null
+++ b/standin/src/command/platform.rs
@@ -0,0 +1,36 @@
+//! `standin platform`.
+
+use std::net::SocketAddr;
+
+use clap::Args;
+use miette::{IntoDiagnostic, Result};
+use standin::server::PlatformServer;
+
+use super::wait_for_end;
+use super::worker::Fleet;
+
+/// Options of `standin platform`.
+#[derive(Debug, Args)]
+pub struct PlatformOptions {
+    /// Address to listen on.
+    #[arg(long, default_value = "127.0.0.1:7100")]
+    listen: SocketAddr,
+    /// Workers to start in this process, on ports of their own.
+    #[arg(long, default_value_t = 0)]
+    workers: u16,
+    #[command(flatten)]
+    fleet: Fleet,
+}
+
+impl PlatformOptions {
+    /// Serves until the process is told to end.
+    pub fn run(&self) -> Result<()> {
+        let platform = PlatformServer::start(self.listen).into_diagnostic()?;
+        let workers = self.fleet.start(SocketAddr::new(self.listen.ip(), 0), self.workers)?;
+        for worker in &workers {
+            platform.list_worker(worker.listed());
+        }
+        println!("platform listens on {}", platform.address());
+        wait_for_end()
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for the platform and the workers.
 //!
 //! The state machines here are pure and take the time as an argument; [`fake`] puts them behind the library's traits
-//! for tests in one process with virtual time.
+//! for tests in one process with virtual time, and
+//! [`server`] puts them behind HTTP in real time.
 
 pub mod fake;
 pub mod record;
 pub mod script;
+pub mod server;
 pub mod table;
 pub mod worker;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,3 +1,20 @@
 //! The stand-in program.
 
-fn main() {}
+mod command;
+
+use clap::Parser;
+use miette::Result;
+
+use command::Command;
+
+/// Stand-ins for the platform and the workers, and the tools that measure against them.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Options {
+    #[command(subcommand)]
+    command: Command,
+}
+
+fn main() -> Result<()> {
+    Options::parse().command.run()
+}
--- /dev/null
+++ b/standin/src/server/faults.rs
@@ -0,0 +1,123 @@
+//! Faults that tests inject into a server.
+
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+
+use rouille::Response;
+use serde::{Deserialize, Serialize};
+use yuccaridge::platform::http::wire::ErrorCode;
+use yuccaridge::time::Millis;
+
+use super::reply::{Answer, broken, error, finish};
+
+/// What a fault hits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// Reads of the table.
+    Reads,
+    /// Transactions of the table.
+    Commits,
+    /// The object store.
+    Objects,
+    /// The list.
+    List,
+    /// Commands to a worker.
+    Commands,
+    /// Reports of a worker.
+    Reports,
+    /// Calls to a worker.
+    Calls,
+    /// Requests to a worker to refuse a call.
+    Refusals,
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "mishap", rename_all = "snake_case")]
+pub enum Mishap {
+    /// The request is answered with `unavailable` and has no effect.
+    Outage,
+    /// The connection breaks before the request takes effect.
+    Cut,
+    /// The connection breaks after the request took effect.
+    Lost,
+    /// The request takes effect later.
+    Delay {
+        /// How much later.
+        by: Millis,
+    },
+    /// The answer is sent later than the request took effect.
+    Late {
+        /// How much later.
+        by: Millis,
+    },
+}
+
+/// A fault as injected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Injected {
+    /// What it hits.
+    pub target: Target,
+    /// What goes wrong.
+    #[serde(flatten)]
+    pub mishap: Mishap,
+    /// Number of requests that it hits; all until it is cleared if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub count: Option<u32>,
+}
+
+/// Faults in force, the newest first.
+#[derive(Debug, Default)]
+pub struct Faults(Mutex<Vec<Injected>>);
+
+impl Faults {
+    /// Adds a fault.
+    pub fn add(&self, fault: Injected) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(0, fault);
+    }
+
+    /// Removes all faults.
+    pub fn clear(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Takes the newest fault that hits a target.
+    fn take(&self, target: Target) -> Option<Mishap> {
+        let mut faults = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let index = faults.iter().position(|fault| fault.target == target)?;
+        let mishap = faults[index].mishap;
+        if let Some(count) = &mut faults[index].count {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                faults.remove(index);
+            }
+        }
+        Some(mishap)
+    }
+
+    /// Carries a request out with the fault that hits it, if any does.
+    pub fn apply<F>(&self, target: Target, f: F) -> Response
+    where
+        F: FnOnce() -> Answer,
+    {
+        match self.take(target) {
+            None => finish(f()),
+            Some(Mishap::Outage) => finish(Err(error(ErrorCode::Unavailable, "out of service"))),
+            Some(Mishap::Cut) => broken(),
+            Some(Mishap::Lost) => {
+                drop(f());
+                broken()
+            }
+            Some(Mishap::Delay { by }) => {
+                thread::sleep(by.duration());
+                finish(f())
+            }
+            Some(Mishap::Late { by }) => {
+                let answer = f();
+                thread::sleep(by.duration());
+                finish(answer)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/server/platform.rs
@@ -0,0 +1,215 @@
+//! The table, the object store and the list behind HTTP.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use rouille::{Request, Response};
+use serde::{Deserialize, Serialize};
+use yuccaridge::name::{InstanceName, WorkerName};
+use yuccaridge::platform::http::wire::{
+    CommitReply, ErrorBody, ErrorCode, LENGTH_HEADER, ReadBody, ReadReply, ScanBody,
+};
+use yuccaridge::platform::{
+    Address, Listed, ListedInstance, ListedWorker, ObjectError, Objects, Presence, Table, TableError, Txn,
+};
+
+use super::faults::{Faults, Target};
+use super::host::Host;
+use super::reply::{Answer, bad, bytes, error, finish, json, ok};
+use crate::table::{MemoryObjects, MemoryTable, Usage};
+
+/// Machines whose state in the list is to change.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Presences {
+    /// Workers.
+    pub workers: BTreeMap<WorkerName, Presence>,
+    /// Instances of the system.
+    pub instances: BTreeMap<InstanceName, Presence>,
+}
+
+#[derive(Debug, Default)]
+struct List {
+    workers: BTreeMap<WorkerName, ListedWorker>,
+    instances: BTreeMap<InstanceName, ListedInstance>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: MemoryTable,
+    objects: MemoryObjects,
+    list: Mutex<List>,
+    faults: Faults,
+}
+
+/// The platform behind HTTP.
+#[derive(Debug)]
+pub struct PlatformServer {
+    state: Arc<State>,
+    host: Host,
+}
+
+impl PlatformServer {
+    /// Starts an empty platform.
+    pub fn start(listen: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(State::default());
+        let served = Arc::clone(&state);
+        let host = Host::start(listen, move |request| served.answer(request))?;
+        Ok(Self { state, host })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> Address {
+        self.host.address()
+    }
+
+    /// Faults that it injects.
+    pub fn faults(&self) -> &Faults {
+        &self.state.faults
+    }
+
+    /// What the table was asked for so far.
+    pub fn usage(&self) -> Usage {
+        self.state.table.usage()
+    }
+
+    /// Adds a worker to the list, or changes it.
+    pub fn list_worker(&self, worker: ListedWorker) {
+        self.state.list().workers.insert(worker.name.clone(), worker);
+    }
+
+    /// Adds an instance to the list, or changes it.
+    pub fn list_instance(&self, instance: ListedInstance) {
+        self.state.list().instances.insert(instance.name.clone(), instance);
+    }
+
+    /// Removes a worker from the list.
+    pub fn unlist_worker(&self, name: &WorkerName) {
+        self.state.list().workers.remove(name);
+    }
+
+    /// Removes an instance from the list.
+    pub fn unlist_instance(&self, name: &InstanceName) {
+        self.state.list().instances.remove(name);
+    }
+
+    /// Changes the state of machines in the list.
+    pub fn set_presences(&self, presences: &Presences) {
+        self.state.set_presences(presences);
+    }
+}
+
+impl State {
+    fn list(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_presences(&self, presences: &Presences) {
+        let mut list = self.list();
+        for (name, presence) in &presences.workers {
+            if let Some(worker) = list.workers.get_mut(name) {
+                worker.presence = *presence;
+            }
+        }
+        for (name, presence) in &presences.instances {
+            if let Some(instance) = list.instances.get_mut(name) {
+                instance.presence = *presence;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        let url = request.url();
+        match (request.method(), url.as_str()) {
+            ("POST", "/v1/table/read") => self.faults.apply(Target::Reads, || self.read(request)),
+            ("POST", "/v1/table/scan") => self.faults.apply(Target::Reads, || self.scan(request)),
+            ("POST", "/v1/table/commit") => self.faults.apply(Target::Commits, || self.commit(request)),
+            ("PUT", "/v1/objects") => self.faults.apply(Target::Objects, || self.put_object(request)),
+            ("GET", "/v1/objects") => self.faults.apply(Target::Objects, || self.get_object(request)),
+            ("GET", "/v1/list") => self.faults.apply(Target::List, || self.get_list()),
+            (method, path) => finish(self.control(method, path, request)),
+        }
+    }
+
+    fn read(&self, request: &Request) -> Answer {
+        let body: ReadBody = json(request)?;
+        let rows = self.table.read(&body.keys).map_err(table_error)?;
+        ok(&ReadReply { rows })
+    }
+
+    fn scan(&self, request: &Request) -> Answer {
+        let body: ScanBody = json(request)?;
+        let page = self.table.scan(&body.prefix, body.after.as_deref(), body.limit);
+        ok(&page.map_err(table_error)?)
+    }
+
+    fn commit(&self, request: &Request) -> Answer {
+        let txn: Txn = json(request)?;
+        let version = self.table.commit(&txn).map_err(table_error)?;
+        ok(&CommitReply { version })
+    }
+
+    fn put_object(&self, request: &Request) -> Answer {
+        let name = object_name(request)?;
+        self.objects.put(&name, &bytes(request)?).map_err(object_error)?;
+        ok(&())
+    }
+
+    fn get_object(&self, request: &Request) -> Answer {
+        let bytes = self.objects.get(&object_name(request)?).map_err(object_error)?;
+        let length = bytes.len().to_string();
+        Ok(Response::from_data("application/octet-stream", bytes).with_unique_header(LENGTH_HEADER, length))
+    }
+
+    fn get_list(&self) -> Answer {
+        let list = self.list();
+        ok(&Listed {
+            workers: list.workers.values().cloned().collect(),
+            instances: list.instances.values().cloned().collect(),
+        })
+    }
+
+    /// Requests that only tests and stand-ins make.
+    fn control(&self, method: &str, path: &str, request: &Request) -> Answer {
+        let parts: Vec<_> = path.trim_start_matches("/v1/").split('/').collect();
+        match (method, parts.as_slice()) {
+            ("POST", ["list", "workers"]) => {
+                let worker: ListedWorker = json(request)?;
+                self.list().workers.insert(worker.name.clone(), worker);
+            }
+            ("POST", ["list", "instances"]) => {
+                let instance: ListedInstance = json(request)?;
+                self.list().instances.insert(instance.name.clone(), instance);
+            }
+            ("DELETE", ["list", "workers", name]) => drop(self.list().workers.remove(*name)),
+            ("DELETE", ["list", "instances", name]) => drop(self.list().instances.remove(*name)),
+            ("POST", ["list", "presences"]) => self.set_presences(&json(request)?),
+            ("POST", ["faults"]) => self.faults.add(json(request)?),
+            ("DELETE", ["faults"]) => self.faults.clear(),
+            ("GET", ["usage"]) => return ok(&self.table.usage()),
+            _ => return Err(bad(format!("there is no {method} {path}"))),
+        }
+        ok(&())
+    }
+}
+
+fn object_name(request: &Request) -> Result<String, ErrorBody> {
+    request.get_param("name").ok_or_else(|| bad("the name is missing"))
+}
+
+fn object_error(failure: ObjectError) -> ErrorBody {
+    match failure {
+        ObjectError::Absent(name) => error(ErrorCode::Absent, name),
+        ObjectError::Unavailable(reason) => error(ErrorCode::Unavailable, reason),
+    }
+}
+
+fn table_error(failure: TableError) -> ErrorBody {
+    let message = failure.to_string();
+    match failure {
+        TableError::Conflict { key, expected, found } => error(ErrorCode::Conflict { key, expected, found }, message),
+        _ => error(ErrorCode::Unavailable, message),
+    }
+}
--- a/standin/src/table.rs
+++ b/standin/src/table.rs
@@ -4,10 +4,11 @@
 use std::ops::Bound;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use serde::{Deserialize, Serialize};
 use yuccaridge::platform::{Key, ObjectError, Objects, Page, Row, Table, TableError, Txn, Version};
 
 /// Counts of what the table was asked for.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
     /// Transactions carried out.
     pub commits: u64,
--- /dev/null
+++ b/tests/http/commits.rs
@@ -0,0 +1,252 @@
+//! What the table adapter reports about a transaction whose answer did not arrive must be true.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use standin::server::{Injected, Mishap, PlatformServer, Target};
+use standin::table::MemoryTable;
+use yuccaridge::platform::http::HttpTable;
+use yuccaridge::platform::http::wire::{CommitReply, ReadBody, ReadReply};
+use yuccaridge::platform::{Put, Table, TableError, Txn};
+use yuccaridge::time::Millis;
+
+use crate::fixture::{check, loopback, refusing, remove, timeouts, write};
+use crate::raw::{RawServer, Received, reply};
+
+fn platform() -> (PlatformServer, HttpTable) {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let table = HttpTable::new(platform.address(), timeouts());
+    (platform, table)
+}
+
+fn inject(platform: &PlatformServer, target: Target, mishap: Mishap, count: u32) {
+    platform.faults().add(Injected {
+        target,
+        mishap,
+        count: Some(count),
+    });
+}
+
+/// A table that hands the first transaction to `first` and serves all other requests as it should. The memory table
+/// behind it can be written to by "others" at any moment.
+fn flawed<F>(first: F) -> (RawServer, Arc<MemoryTable>, HttpTable)
+where
+    F: Fn(&MemoryTable, &Txn, &mut TcpStream) + Send + 'static,
+{
+    let memory = Arc::new(MemoryTable::default());
+    let rows = Arc::clone(&memory);
+    let commits = AtomicUsize::new(0);
+    let server = RawServer::start(move |_, received: Received, stream| {
+        if received.path == "/v1/table/read" {
+            let body: ReadBody = serde_json::from_slice(&received.body).unwrap();
+            let rows = rows.read(&body.keys).unwrap();
+            return reply(stream, 200, &serde_json::to_vec(&ReadReply { rows }).unwrap());
+        }
+        let txn: Txn = serde_json::from_slice(&received.body).unwrap();
+        if commits.fetch_add(1, Ordering::Relaxed) == 0 {
+            return first(&rows, &txn, stream);
+        }
+        match rows.commit(&txn) {
+            Ok(version) => reply(stream, 200, &serde_json::to_vec(&CommitReply { version }).unwrap()),
+            Err(TableError::Conflict { key, expected, found }) => {
+                let body = serde_json::json!({
+                    "code": "conflict", "key": key, "expected": expected, "found": found, "message": "changed",
+                });
+                reply(stream, 409, &serde_json::to_vec(&body).unwrap());
+            }
+            Err(error) => panic!("{error}"),
+        }
+    });
+    let table = HttpTable::new(server.address, timeouts());
+    (server, memory, table)
+}
+
+#[test]
+fn commits_and_conflicts_pass_through() {
+    let (platform, table) = platform();
+    let version = table.commit(&write("a", "job/1", 0)).unwrap();
+    let conflict = table.commit(&write("b", "job/1", 0)).unwrap_err();
+    let expected = TableError::Conflict {
+        key: "job/1".to_owned(),
+        expected: 0,
+        found: version,
+    };
+    assert_eq!(conflict, expected);
+    assert_eq!(platform.usage().commits, 1);
+}
+
+/// Guards against a second write of what was written already.
+#[test]
+fn answer_lost_after_the_write_is_found_applied() {
+    let (platform, table) = platform();
+    inject(&platform, Target::Commits, Mishap::Lost, 1);
+    let version = table.commit(&write("a", "job/1", 0)).unwrap();
+    let row = table.read(&["job/1".to_owned()]).unwrap().remove(0).unwrap();
+    assert_eq!((row.version, row.op.0.as_str()), (version, "a"));
+    assert_eq!(platform.usage().commits, 1);
+}
+
+/// Guards against a lost request that is reported as not written while it is still under way.
+#[test]
+fn request_cut_before_the_write_is_applied_once() {
+    let (platform, table) = platform();
+    inject(&platform, Target::Commits, Mishap::Cut, 1);
+    table.commit(&write("a", "job/1", 0)).unwrap();
+    assert_eq!(platform.usage().commits, 1);
+}
+
+/// Guards against a delayed copy that is applied a second time, after the adapter has repeated it.
+#[test]
+fn delayed_request_is_applied_once() {
+    let (platform, table) = platform();
+    let by = Millis(3000);
+    inject(&platform, Target::Commits, Mishap::Delay { by }, 1);
+    table.commit(&write("a", "job/1", 0)).unwrap();
+    // The delayed copy is the only other transaction that the table sees.
+    while platform.usage().conflicts == 0 {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    assert_eq!(platform.usage().commits, 1);
+}
+
+#[test]
+fn refused_connection_is_unavailable() {
+    let table = HttpTable::new(refusing(), timeouts());
+    let error = table.commit(&write("a", "job/1", 0)).unwrap_err();
+    assert!(matches!(error, TableError::Unavailable(_)), "{error}");
+}
+
+#[test]
+fn outage_that_the_table_states_is_unavailable() {
+    let (platform, table) = platform();
+    inject(&platform, Target::Commits, Mishap::Outage, 1);
+    let error = table.commit(&write("a", "job/1", 0)).unwrap_err();
+    assert!(matches!(error, TableError::Unavailable(_)), "{error}");
+    assert_eq!(platform.usage().commits, 0);
+}
+
+/// Guards against a guess when the table goes down between the write and the reading back.
+#[test]
+fn failed_reading_back_is_unknown() {
+    let (platform, table) = platform();
+    inject(&platform, Target::Commits, Mishap::Lost, 1);
+    inject(&platform, Target::Reads, Mishap::Outage, 1);
+    let error = table.commit(&write("a", "job/1", 0)).unwrap_err();
+    assert!(matches!(error, TableError::Unknown(_)), "{error}");
+    assert!(!error.is_unwritten());
+}
+
+/// Guards against "not written" when the repeat was not answered either.
+#[test]
+fn second_lost_request_is_unknown() {
+    let (platform, table) = platform();
+    inject(&platform, Target::Commits, Mishap::Cut, 2);
+    let error = table.commit(&write("a", "job/1", 0)).unwrap_err();
+    assert!(matches!(error, TableError::Unknown(_)), "{error}");
+}
+
+/// Guards against a conflict reported for a transaction that was applied and then written over.
+#[test]
+fn row_written_over_is_unknown() {
+    let (_server, memory, table) = flawed(|memory, txn, _| {
+        let version = memory.commit(txn).unwrap();
+        memory.commit(&write("other", "job/1", version)).unwrap();
+    });
+    let error = table.commit(&write("a", "job/1", 0)).unwrap_err();
+    assert!(matches!(error, TableError::Unknown(_)), "{error}");
+    assert_eq!(memory.usage().commits, 2);
+}
+
+/// Guards against evidence in one row being missed because another row was written over.
+#[test]
+fn any_row_with_the_identifier_proves_the_write() {
+    let (_server, memory, table) = flawed(|memory, txn, _| {
+        let version = memory.commit(txn).unwrap();
+        memory.commit(&write("other", "job/1", version)).unwrap();
+    });
+    let mut txn = write("a", "job/1", 0);
+    txn.puts.extend(write("a", "queue/p/1", 0).puts);
+    assert_eq!(table.commit(&txn), Ok(1));
+    assert_eq!(memory.usage().commits, 2);
+}
+
+/// Guards against doubt where a check that no longer holds proves that the transaction cannot be applied.
+#[test]
+fn broken_check_beside_an_untouched_row_is_a_conflict() {
+    let (_server, memory, table) = flawed(|memory, _, _| {
+        memory.commit(&write("other", "pool/p", 1)).unwrap();
+    });
+    memory.commit(&write("setup", "pool/p", 0)).unwrap();
+    memory.commit(&write("setup", "job/1", 0)).unwrap();
+    let mut txn = write("a", "job/1", 2);
+    txn.checks.insert(0, check("pool/p", 1));
+    let error = table.commit(&txn).unwrap_err();
+    assert!(matches!(error, TableError::Conflict { found: 3, .. }), "{error}");
+    assert_eq!(memory.usage().commits, 3);
+}
+
+/// Guards against an absent row being taken as proof that this transaction removed it.
+#[test]
+fn lost_removal_is_unknown_once_the_row_is_gone() {
+    let (_server, memory, table) = flawed(|memory, txn, _| {
+        memory.commit(txn).unwrap();
+    });
+    memory.commit(&write("setup", "open/i/1", 0)).unwrap();
+    let error = table.commit(&remove("a", "open/i/1", 1)).unwrap_err();
+    assert!(matches!(error, TableError::Unknown(_)), "{error}");
+}
+
+#[test]
+fn lost_removal_is_repeated_while_the_row_is_there() {
+    let (_server, memory, table) = flawed(|_, _, _| {});
+    memory.commit(&write("setup", "open/i/1", 0)).unwrap();
+    table.commit(&remove("a", "open/i/1", 1)).unwrap();
+    assert_eq!(memory.read(&["open/i/1".to_owned()]), Ok(vec![None]));
+}
+
+/// Guards against a repeat of a transaction that nothing keeps from happening twice.
+#[test]
+fn unchecked_transaction_is_never_repeated() {
+    let (_server, memory, table) = flawed(|_, _, _| {});
+    let mut txn = write("a", "job/1", 0);
+    txn.checks.clear();
+    txn.puts.push(Put {
+        key: "job/2".to_owned(),
+        value: None,
+    });
+    let error = table.commit(&txn).unwrap_err();
+    assert!(matches!(error, TableError::Unknown(_)), "{error}");
+    assert_eq!(memory.usage().commits, 0);
+}
+
+/// Guards against trust in an answer that is garbage, endless, cut, or made by something in between.
+#[test]
+fn answers_that_make_no_sense_are_resolved_by_reading_back() {
+    let huge = vec![b' '; (64 << 20) + 1];
+    let cut = b"HTTP/1.1 200 X\r\nContent-Length: 99\r\n\r\n{\"version\":1}".to_vec();
+    let garbage = b"\x00\x01nonsense\r\n\r\n".to_vec();
+    let redirect = b"HTTP/1.1 307 X\r\nLocation: /v1/table/commit\r\nContent-Length: 0\r\n\r\n".to_vec();
+    let plain = |status: u16, body: &[u8]| {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+        [head.as_bytes(), body].concat()
+    };
+    let answers = [
+        garbage,
+        cut,
+        redirect,
+        plain(200, b"{\"version\":\"one\"}"),
+        plain(200, &huge),
+        plain(503, b"<html>busy</html>"),
+        plain(409, b"conflict"),
+        Vec::new(),
+    ];
+    for answer in answers {
+        let (_server, memory, table) = flawed(move |memory, txn, stream| {
+            memory.commit(txn).unwrap();
+            drop(std::io::Write::write_all(stream, &answer));
+        });
+        assert_eq!(table.commit(&write("a", "job/1", 0)), Ok(1));
+        assert_eq!(memory.usage().commits, 1);
+    }
+}
--- /dev/null
+++ b/tests/http/lists.rs
@@ -0,0 +1,51 @@
+//! The list.
+
+use standin::server::{Injected, Mishap, PlatformServer, Presences, Target};
+use yuccaridge::name::{DomainName, InstanceName};
+use yuccaridge::platform::http::HttpListing;
+use yuccaridge::platform::{ListedInstance, Listing, Presence};
+
+use crate::fixture::{listed, loopback, refusing, timeouts};
+
+#[test]
+fn list_shows_what_was_added_marked_and_removed() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let listing = HttpListing::new(platform.address(), timeouts());
+    let instance = ListedInstance {
+        name: InstanceName::new("i1").unwrap(),
+        address: platform.address(),
+        domain: DomainName::new("d0").unwrap(),
+        presence: Presence::Live,
+    };
+    platform.list_worker(listed("w1"));
+    platform.list_worker(listed("w2"));
+    platform.list_instance(instance.clone());
+    let mut presences = Presences::default();
+    presences.workers.insert(listed("w1").name, Presence::Leaving);
+    platform.set_presences(&presences);
+    platform.unlist_worker(&listed("w2").name);
+
+    let list = listing.list().unwrap();
+
+    let mut leaving = listed("w1");
+    leaving.presence = Presence::Leaving;
+    assert_eq!(list.workers, [leaving]);
+    assert_eq!(list.instances, [instance]);
+}
+
+/// Guards against an outage being taken for an empty list, which would look like the loss of the whole fleet.
+#[test]
+fn unreadable_list_is_an_error() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let listing = HttpListing::new(platform.address(), timeouts());
+    for mishap in [Mishap::Outage, Mishap::Cut] {
+        platform.faults().add(Injected {
+            target: Target::List,
+            mishap,
+            count: Some(1),
+        });
+        listing.list().unwrap_err();
+    }
+    listing.list().unwrap();
+    HttpListing::new(refusing(), timeouts()).list().unwrap_err();
+}
--- /dev/null
+++ b/tests/http/main.rs
@@ -0,0 +1,8 @@
+//! The HTTP adapters against the stand-in servers, and against a server that breaks the protocol.
+
+mod commits;
+mod fixture;
+mod lists;
+mod parts;
+mod raw;
+mod reads;
--- /dev/null
+++ b/tests/http/parts.rs
@@ -0,0 +1,265 @@
+//! What the worker adapter reports must be true, and parts must come through as the worker sent them.
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use serde_json::json;
+use standin::record::Deed;
+use standin::server::{Injected, Mishap, Target, WorkerServer};
+use yuccaridge::name::{JobId, KindName, PoolName};
+use yuccaridge::platform::http::HttpWorkers;
+use yuccaridge::platform::{Action, Batch, CallPart, Command, Refusal, Reply, TaskState, WorkerError, Workers};
+use yuccaridge::time::{Millis, SystemClock};
+
+use crate::fixture::{call, listed, refusing, timeouts};
+use crate::raw::{RawServer, reply};
+
+/// Limit for calls whose answer comes.
+const LONG: Millis = Millis::from_secs(10);
+
+fn worker() -> (WorkerServer, HttpWorkers) {
+    let worker = WorkerServer::start(listed("w1"), 1.0, SystemClock::start()).unwrap();
+    (worker, HttpWorkers::new(timeouts()))
+}
+
+fn part(sequence: u32, last: bool) -> CallPart {
+    CallPart {
+        job: JobId::new("c1").unwrap(),
+        attempt: 1,
+        sequence,
+        last,
+        failed: false,
+        data: json!(sequence),
+    }
+}
+
+fn line(part: &CallPart) -> Vec<u8> {
+    let mut line = serde_json::to_vec(part).unwrap();
+    line.push(b'\n');
+    line
+}
+
+fn chunk(stream: &mut TcpStream, bytes: &[u8]) {
+    let head = format!("{:x}\r\n", bytes.len());
+    drop(stream.write_all(&[head.as_bytes(), bytes, b"\r\n"].concat()));
+}
+
+/// A worker that answers a call with the bytes that `answer` writes.
+fn raw<F>(answer: F) -> (RawServer, HttpWorkers)
+where
+    F: Fn(&mut TcpStream) + Send + 'static,
+{
+    let server = RawServer::start(move |_, _, stream| answer(stream));
+    (server, HttpWorkers::new(timeouts()))
+}
+
+const STREAM_HEAD: &[u8] = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+#[test]
+fn call_brings_all_parts() {
+    let (worker, workers) = worker();
+    let request = call("c1", json!({ "parts": 3, "answer": "yes" }));
+    let parts = workers.call(worker.address(), &request, LONG).unwrap();
+    assert_eq!(parts.len(), 3);
+    assert!(parts[2].last && parts.iter().all(|part| part.data == "yes"));
+}
+
+/// Guards against a refusal that lets a late copy of the call start.
+#[test]
+fn refused_call_never_starts() {
+    let (worker, workers) = worker();
+    let request = call("c1", json!({}));
+    let refusal = workers.refuse(worker.address(), &request.job, 1).unwrap();
+    let error = workers.call(worker.address(), &request, LONG).unwrap_err();
+    assert_eq!((refusal, error), (Refusal::Refused, WorkerError::Refused));
+    let deeds: Vec<_> = worker.record().into_iter().map(|entry| entry.deed).collect();
+    assert_eq!(deeds, [Deed::Refused]);
+}
+
+#[test]
+fn ended_call_is_told_to_who_wants_it_refused() {
+    let (worker, workers) = worker();
+    let request = call("c1", json!({ "answer": 7 }));
+    let parts = workers.call(worker.address(), &request, LONG).unwrap();
+    let refusal = workers.refuse(worker.address(), &request.job, 1).unwrap();
+    assert_eq!(refusal, Refusal::Ended { parts });
+}
+
+#[test]
+fn full_worker_has_not_started_the_call() {
+    let (worker, workers) = worker();
+    worker.with(|worker, now| {
+        for job in ["a", "b"] {
+            worker.call(now, &call(job, json!({ "work_ms": 60_000 }))).unwrap();
+        }
+    });
+    let error = workers
+        .call(worker.address(), &call("c1", json!({})), LONG)
+        .unwrap_err();
+    assert_eq!(error, WorkerError::Full);
+    assert!(worker.record().iter().all(|entry| entry.job.as_str() != "c1"));
+}
+
+/// Guards against "not started" for a call that ran although its answer was lost or late.
+#[test]
+fn lost_answers_leave_doubt() {
+    let (worker, workers) = worker();
+    let late = Mishap::Late { by: Millis(1500) };
+    for (job, mishap) in [("a", Mishap::Lost), ("b", late)] {
+        worker.faults().add(Injected {
+            target: Target::Calls,
+            mishap,
+            count: Some(1),
+        });
+        let error = workers
+            .call(worker.address(), &call(job, json!({})), Millis(500))
+            .unwrap_err();
+        assert!(matches!(error, WorkerError::Lost(_)), "{error}");
+        assert!(!error.is_unstarted());
+        let refusal = workers.refuse(worker.address(), &JobId::new(job).unwrap(), 1).unwrap();
+        assert!(matches!(refusal, Refusal::Ended { .. }));
+    }
+}
+
+#[test]
+fn refused_connection_is_unreached() {
+    let workers = HttpWorkers::new(timeouts());
+    let error = workers.call(refusing(), &call("c1", json!({})), LONG).unwrap_err();
+    assert!(matches!(error, WorkerError::Unreached(_)), "{error}");
+    let error = workers.report(refusing()).unwrap_err();
+    assert!(error.is_unstarted());
+}
+
+/// Guards against trust in a status that something between the instance and the worker made up.
+#[test]
+fn status_without_a_code_leaves_doubt() {
+    for status in [404, 409, 429, 500, 503] {
+        let (server, workers) = raw(move |stream| reply(stream, status, b"<html></html>"));
+        let error = workers.call(server.address, &call("c1", json!({})), LONG).unwrap_err();
+        assert!(matches!(error, WorkerError::Lost(_)), "{status}: {error}");
+    }
+}
+
+#[test]
+fn parts_of_a_slow_stream_are_collected() {
+    let (server, workers) = raw(|stream| {
+        stream.write_all(STREAM_HEAD).unwrap();
+        for sequence in 0..3 {
+            let line = line(&part(sequence, sequence == 2));
+            let (first, second) = line.split_at(5);
+            chunk(stream, first);
+            std::thread::sleep(std::time::Duration::from_millis(20));
+            chunk(stream, second);
+        }
+        chunk(stream, b"");
+    });
+    let parts = workers.call(server.address, &call("c1", json!({})), LONG).unwrap();
+    assert_eq!(parts, [part(0, false), part(1, false), part(2, true)]);
+}
+
+/// Guards against the loss of parts that arrived, and against a half part being taken for a whole one.
+#[test]
+fn cut_stream_brings_the_whole_parts() {
+    let (server, workers) = raw(|stream| {
+        stream.write_all(STREAM_HEAD).unwrap();
+        chunk(stream, &line(&part(0, false)));
+        chunk(stream, &line(&part(1, true))[..20]);
+    });
+    let parts = workers.call(server.address, &call("c1", json!({})), LONG).unwrap();
+    assert_eq!(parts, [part(0, false)]);
+}
+
+/// Guards against a call that a worker keeps open forever.
+#[test]
+fn stalled_stream_ends_with_the_time() {
+    let (server, workers) = raw(|stream| {
+        stream.write_all(STREAM_HEAD).unwrap();
+        chunk(stream, &line(&part(0, false)));
+        // Returns once the client has closed the connection.
+        drop(std::io::Read::read(stream, &mut [0]));
+    });
+    let parts = workers
+        .call(server.address, &call("c1", json!({})), Millis(200))
+        .unwrap();
+    assert_eq!(parts, [part(0, false)]);
+}
+
+#[test]
+fn parts_pass_in_order_of_arrival() {
+    let (server, workers) = raw(|stream| {
+        let lines = [part(1, true), part(0, false), part(1, true)].map(|part| line(&part));
+        reply(stream, 200, &lines.concat());
+    });
+    let parts = workers.call(server.address, &call("c1", json!({})), LONG).unwrap();
+    assert_eq!(parts, [part(1, true), part(0, false), part(1, true)]);
+}
+
+#[test]
+fn stream_without_parts_leaves_doubt() {
+    for body in ["", "\n", "nonsense\n", "{\"job\":"] {
+        let (server, workers) = raw(move |stream| reply(stream, 200, body.as_bytes()));
+        let error = workers.call(server.address, &call("c1", json!({})), LONG).unwrap_err();
+        assert!(matches!(error, WorkerError::Lost(_)), "{error}");
+    }
+}
+
+#[test]
+fn commands_are_repeated_without_harm() {
+    let (worker, workers) = worker();
+    let command = |action| Command {
+        job: JobId::new("j1").unwrap(),
+        attempt: 1,
+        member: 0,
+        action,
+    };
+    let prepare = Action::Prepare {
+        kind: KindName::new("k").unwrap(),
+        cores: 1,
+        memory_mb: 1,
+        accelerators: vec![0],
+        members: 1,
+        payload: json!({ "work_ms": 600_000 }),
+        checkpoint: None,
+    };
+    let batch = Batch {
+        pool: PoolName::new("p").unwrap(),
+        epoch: 1,
+        boot: Some(1),
+        renew_ms: Some(30_000),
+        commands: vec![command(prepare), command(Action::Release)],
+    };
+    worker.faults().add(Injected {
+        target: Target::Commands,
+        mishap: Mishap::Lost,
+        count: Some(1),
+    });
+    let error = workers.command(worker.address(), &batch).unwrap_err();
+    assert!(!error.is_unstarted());
+    let replies = workers.command(worker.address(), &batch).unwrap();
+    let running = Reply::Task {
+        state: TaskState::Running,
+    };
+    assert_eq!(replies, [running.clone(), running]);
+    let report = workers.report(worker.address()).unwrap();
+    assert_eq!((report.tasks.len(), report.boot), (1, 1));
+    let started = worker
+        .record()
+        .iter()
+        .filter(|entry| entry.deed == Deed::Started)
+        .count();
+    assert_eq!(started, 1);
+}
+
+#[test]
+fn wrong_number_of_replies_leaves_doubt() {
+    let (server, workers) = raw(|stream| reply(stream, 200, b"[{\"reply\":\"absent\"}]"));
+    let batch = Batch {
+        pool: PoolName::new("p").unwrap(),
+        epoch: 1,
+        boot: None,
+        renew_ms: None,
+        commands: Vec::new(),
+    };
+    let error = workers.command(server.address, &batch).unwrap_err();
+    assert!(matches!(error, WorkerError::Lost(_)), "{error}");
+}
--- /dev/null
+++ b/tests/http/raw.rs
@@ -0,0 +1,86 @@
+//! A server that writes whatever bytes a test wants.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+
+/// A request as received.
+pub struct Received {
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+/// Server that hands each request, with its number, to a closure; the closure's end closes the connection.
+pub struct RawServer {
+    pub address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl RawServer {
+    pub fn start<F>(answer: F) -> Self
+    where
+        F: Fn(usize, Received, &mut TcpStream) + Send + 'static,
+    {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = Arc::clone(&stop);
+        let thread = thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let mut stream = stream.unwrap();
+                if seen.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Some(received) = receive(&mut stream) {
+                    answer(number, received, &mut stream);
+                }
+            }
+        });
+        Self {
+            address,
+            stop,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for RawServer {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        drop(TcpStream::connect(self.address));
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
+    }
+}
+
+fn receive(stream: &mut TcpStream) -> Option<Received> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&buffer[..count]);
+        let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
+            continue;
+        };
+        let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+        let length: usize = length.map_or(0, |length| length.trim().parse().unwrap());
+        if bytes.len() >= end + 4 + length {
+            return Some(Received {
+                path: head.split_whitespace().nth(1)?.to_owned(),
+                body: bytes.split_off(end + 4),
+            });
+        }
+    }
+}
+
+/// Writes a complete answer. The client may have gone, which is not the server's fault.
+pub fn reply(stream: &mut TcpStream, status: u16, body: &[u8]) {
+    let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+    drop(stream.write_all(head.as_bytes()));
+    drop(stream.write_all(body));
+}
--- /dev/null
+++ b/tests/http/reads.rs
@@ -0,0 +1,119 @@
+//! Reads of the table and of objects must be whole, or fail.
+
+use std::io::Write;
+
+use serde_json::json;
+use standin::server::{Injected, Mishap, PlatformServer, Target};
+use yuccaridge::platform::http::{HttpObjects, HttpTable};
+use yuccaridge::platform::{ObjectError, Objects, Table, TableError};
+
+use crate::fixture::{loopback, refusing, timeouts, write};
+use crate::raw::{RawServer, reply};
+
+#[test]
+fn scan_goes_through_all_pages() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let table = HttpTable::new(platform.address(), timeouts());
+    for number in 0..7 {
+        table.commit(&write("a", &format!("job/{number}"), 0)).unwrap();
+    }
+    table.commit(&write("a", "pool/p", 0)).unwrap();
+    let mut keys = Vec::new();
+    let mut after = None;
+    loop {
+        let page = table.scan("job/", after.as_deref(), 3).unwrap();
+        keys.extend(page.rows.into_iter().map(|row| row.key));
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!(keys, (0..7).map(|number| format!("job/{number}")).collect::<Vec<_>>());
+}
+
+/// Guards against rows of other keys, too few rows and pages that never end.
+#[test]
+fn wrong_rows_are_refused() {
+    let row = |key: &str| json!({ "key": key, "version": 1, "op": "a", "value": null });
+    let answers = [
+        json!({ "rows": [] }),
+        json!({ "rows": [row("job/2")] }),
+        json!({ "rows": [null, null] }),
+    ];
+    for answer in answers {
+        let server = RawServer::start(move |_, _, stream| reply(stream, 200, answer.to_string().as_bytes()));
+        let table = HttpTable::new(server.address, timeouts());
+        let error = table.read(&["job/1".to_owned()]).unwrap_err();
+        assert!(matches!(error, TableError::Format(_)), "{error}");
+    }
+    let pages = [
+        json!({ "rows": [row("job/1")], "next": null }),
+        json!({ "rows": [row("job/3"), row("job/2")], "next": null }),
+        json!({ "rows": [row("pool/p")], "next": null }),
+        json!({ "rows": [], "next": "job/1" }),
+        json!({ "rows": [row("job/2")], "next": "job/1" }),
+        json!({ "rows": [row("job/2"), row("job/3"), row("job/4")], "next": null }),
+    ];
+    for page in pages {
+        let text = page.to_string();
+        let server = RawServer::start(move |_, _, stream| reply(stream, 200, page.to_string().as_bytes()));
+        let table = HttpTable::new(server.address, timeouts());
+        let result = table.scan("job/", Some("job/1"), 2);
+        assert!(matches!(result, Err(TableError::Format(_))), "{text}");
+    }
+}
+
+#[test]
+fn failed_reads_have_written_nothing() {
+    let table = HttpTable::new(refusing(), timeouts());
+    assert!(table.read(&["job/1".to_owned()]).unwrap_err().is_unwritten());
+    let server = RawServer::start(|_, _, _| {});
+    let table = HttpTable::new(server.address, timeouts());
+    assert!(table.scan("job/", None, 1).unwrap_err().is_unwritten());
+}
+
+#[test]
+fn objects_come_back_as_written() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let objects = HttpObjects::new(platform.address(), timeouts());
+    // More than 32 KiB makes the server use chunks.
+    let bytes: Vec<_> = (0..100_000_u32).map(|number| number as u8).collect();
+    for name in ["plain", "answer/job 1/ä?&=%2e", ".."] {
+        objects.put(name, &bytes).unwrap();
+        objects.put(name, &bytes).unwrap();
+        assert_eq!(objects.get(name), Ok(bytes.clone()));
+    }
+    assert_eq!(objects.get("other"), Err(ObjectError::Absent("other".to_owned())));
+}
+
+/// Guards against a cut object being taken for a whole one, however its length is announced.
+#[test]
+fn cut_objects_are_refused() {
+    let answers = [
+        "HTTP/1.1 200 X\r\nx-object-length: 9\r\nContent-Length: 9\r\n\r\nabc",
+        "HTTP/1.1 200 X\r\nx-object-length: 9\r\n\r\nabc",
+        "HTTP/1.1 200 X\r\nx-object-length: 9\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 X\r\n\r\nabc",
+        "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+    ];
+    for answer in answers {
+        let server = RawServer::start(move |_, _, stream| stream.write_all(answer.as_bytes()).unwrap());
+        let objects = HttpObjects::new(server.address, timeouts());
+        let error = objects.get("a").unwrap_err();
+        assert!(matches!(error, ObjectError::Unavailable(_)), "{error}");
+    }
+}
+
+#[test]
+fn object_store_out_of_service_is_unavailable() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let objects = HttpObjects::new(platform.address(), timeouts());
+    platform.faults().add(Injected {
+        target: Target::Objects,
+        mishap: Mishap::Outage,
+        count: None,
+    });
+    assert!(matches!(objects.put("a", b"x"), Err(ObjectError::Unavailable(_))));
+    platform.faults().clear();
+    assert_eq!(objects.get("a"), Err(ObjectError::Absent("a".to_owned())));
+}
