Add the planner of one pool

Cause: decisions have to become rows and commands, and a new planner has to go on from rows alone. Change: takeover, the ledger of rows and conditional transactions, attempts with prepare, run and release, worker contacts with lease lapse and restart detection. Ruled out: one index row per job for its whole life; it would make each queue scan as large as all running jobs, so the queue row goes when a job is placed and worker rows name the running ones.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod job;
 pub mod name;
 pub mod plan;
+pub mod planner;
 pub mod platform;
 pub mod row;
 pub mod team;
--- /dev/null
+++ b/src/planner/attempt.rs
@@ -0,0 +1,62 @@
+//! The current attempt of a job.
+
+use super::member::Member;
+use crate::name::WorkerName;
+use crate::time::Millis;
+
+/// Why an attempt is to end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// Its caller wants it ended.
+    Cancelled,
+    /// The decision core wants its seats.
+    Preempted,
+    /// A member could not be prepared.
+    Unprepared { worker: Option<WorkerName> },
+    /// A member failed.
+    Failed { worker: WorkerName, reason: String },
+    /// A member's worker was lost, or the member did not start in time.
+    Lost { worker: WorkerName },
+}
+
+/// What an attempt is to come to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Goal {
+    Run,
+    Stop(Cause),
+}
+
+/// An attempt in memory; the job's row says what is certain.
+#[derive(Debug, Clone)]
+pub(super) struct Attempt {
+    pub goal: Goal,
+    pub members: Vec<Member>,
+    /// Start of the present phase; bounds the time to prepare and to release.
+    pub since: Millis,
+    /// Whether the decision core knows that it started.
+    pub announced: bool,
+}
+
+impl Attempt {
+    /// An attempt of which nothing was heard yet.
+    pub fn new(goal: Goal, members: usize, now: Millis) -> Self {
+        Self {
+            goal,
+            members: vec![Member::default(); members],
+            since: now,
+            announced: false,
+        }
+    }
+
+    /// Makes the attempt stop, unless it already stops. A caller's wish replaces other causes.
+    pub fn stop(&mut self, cause: Cause) {
+        if self.goal == Goal::Run || cause == Cause::Cancelled {
+            self.goal = Goal::Stop(cause);
+        }
+    }
+
+    /// Whether no member runs or can start.
+    pub fn is_settled(&self) -> bool {
+        self.members.iter().all(Member::is_settled)
+    }
+}
--- /dev/null
+++ b/src/planner/change.rs
@@ -0,0 +1,48 @@
+//! A change to a job's row and what goes with it.
+
+use std::collections::BTreeSet;
+
+use crate::job::JobRow;
+use crate::name::WorkerName;
+use crate::plan::EndKind;
+use crate::platform::Step;
+
+/// What happens to a job's seats in the worker rows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Seats {
+    /// They stay as they are.
+    Keep,
+    /// Those of the new row are taken.
+    Take,
+    /// Those on these workers are freed.
+    Free(BTreeSet<WorkerName>),
+}
+
+/// A change to commit. It is computed from the state in memory and may be thrown away at any time before that.
+#[derive(Debug, Clone)]
+pub(super) struct Change {
+    pub step: Step,
+    /// The row as it will be.
+    pub row: JobRow,
+    pub seats: Seats,
+    /// Whether the job waits in the queue afterwards.
+    pub queued: bool,
+    /// Worker that the decision core is to blame or avoid.
+    pub worker: Option<WorkerName>,
+    /// How the attempt ended, for the decision core.
+    pub end: Option<EndKind>,
+}
+
+impl Change {
+    /// A change that leaves the seats and the queue alone.
+    pub fn new(step: Step, row: JobRow) -> Self {
+        Self {
+            step,
+            row,
+            seats: Seats::Keep,
+            queued: false,
+            worker: None,
+            end: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/planner/claim.rs
@@ -0,0 +1,108 @@
+//! Taking a pool over.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::error::PlannerError;
+use super::ledger::{Ledger, content, parse, scan_all};
+use crate::job::JobRow;
+use crate::name::{InstanceName, JobId, PoolName};
+use crate::platform::{Check, Put, Step, Table, TableError, Txn, Version};
+use crate::row::{OpIds, PoolRow, WorkerRow, key};
+
+/// Wish of an instance to plan a pool.
+#[derive(Debug)]
+pub struct Claim {
+    /// The pool.
+    pub pool: PoolName,
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its boot.
+    pub boot: String,
+    /// Version of the pool row at which the instance judged that it may take the pool; 0 if there was none.
+    pub version: Version,
+    /// Further conditions, such as the unchanged session row of a holder that has lapsed.
+    pub checks: Vec<Check>,
+    /// The table.
+    pub table: Arc<dyn Table>,
+    /// Identifiers for transactions.
+    pub ops: Arc<OpIds>,
+}
+
+impl Claim {
+    /// Writes the pool row with a higher epoch.
+    pub(super) fn take(self) -> Result<Ledger, PlannerError> {
+        let row_key = key::pool(&self.pool);
+        let found = self.table.read(std::slice::from_ref(&row_key))?.pop().flatten();
+        let epoch = match &found {
+            Some(row) if row.version != self.version => return Err(PlannerError::Fenced),
+            Some(row) => parse::<PoolRow>(row)?.epoch + 1,
+            None if self.version != 0 => return Err(PlannerError::Fenced),
+            None => 1,
+        };
+        let row = PoolRow {
+            holder: self.instance,
+            boot: self.boot,
+            epoch,
+        };
+        let op = self.ops.next();
+        let mut checks = self.checks;
+        checks.push(Check {
+            key: row_key.clone(),
+            version: self.version,
+        });
+        let puts = vec![Put {
+            key: row_key.clone(),
+            value: content(&row),
+        }];
+        let fence = match self.table.commit(&Txn {
+            step: Step::Takeover,
+            op: op.clone(),
+            checks,
+            puts,
+        }) {
+            Ok(version) => version,
+            Err(TableError::Conflict { .. }) => return Err(PlannerError::Fenced),
+            Err(TableError::Unknown(_) | TableError::Format(_)) => match self.table.read(&[row_key])?.pop().flatten() {
+                Some(row) if row.op == op => row.version,
+                _ => return Err(PlannerError::Fenced),
+            },
+            Err(error) => return Err(error.into()),
+        };
+        Ok(Ledger {
+            table: self.table,
+            ops: self.ops,
+            pool: self.pool,
+            epoch,
+            fence,
+            workers: BTreeMap::new(),
+        })
+    }
+}
+
+impl Ledger {
+    /// Loads the pool's worker rows, and the rows of all jobs that wait or hold seats.
+    pub(super) fn load(&mut self) -> Result<Vec<(JobRow, Version)>, PlannerError> {
+        let mut ids = BTreeSet::new();
+        let prefix = key::workers(&self.pool);
+        for row in scan_all(self.table.as_ref(), &prefix)? {
+            let worker: WorkerRow = parse(&row)?;
+            ids.extend(worker.held.iter().map(|held| held.job.clone()));
+            if let Some(Ok(name)) = row.key.strip_prefix(&prefix).map(str::parse) {
+                self.workers.insert(name, (worker, row.version));
+            }
+        }
+        ids.extend(self.queued()?.into_iter().map(|(id, _)| id));
+        self.read_jobs(&ids.into_iter().collect::<Vec<_>>())
+    }
+
+    /// Jobs that wait or are to be cancelled, with the version of the write that put them into the queue.
+    pub(super) fn queued(&self) -> Result<Vec<(JobId, Version)>, PlannerError> {
+        let prefix = key::queue(&self.pool);
+        let rows = scan_all(self.table.as_ref(), &prefix)?;
+        Ok(rows
+            .iter()
+            .filter_map(|row| Some((row.key.strip_prefix(&prefix)?.parse().ok()?, row.version)))
+            .collect())
+    }
+}
--- /dev/null
+++ b/src/planner/entry.rs
@@ -0,0 +1,331 @@
+//! A job in the planner's memory.
+
+use super::attempt::{Attempt, Cause, Goal};
+use super::change::{Change, Seats};
+use super::member::Member;
+use crate::job::{JobRow, NotRunReason, Outcome, Phase, Seat};
+use crate::name::WorkerName;
+use crate::plan::{EndKind, QueuedJob};
+use crate::platform::{Action, Step, TaskState, Version};
+use crate::time::Millis;
+
+/// Time to prepare all members; a slower gang is undone so that its seats do not stay idle.
+const PREPARE_MAX: Millis = Millis(2000);
+/// Time to release all members; beyond it a gang would run in part.
+const RELEASE_MAX: Millis = Millis(2000);
+/// Time for a checkpoint before a task is stopped without; keeps a reclaim within its 2.6 s.
+const CHECKPOINT_GRACE_MS: u64 = 1500;
+
+/// A job's row, its version, and the state of its attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Entry {
+    pub row: JobRow,
+    pub version: Version,
+    /// When this planner first saw the job.
+    pub since: Millis,
+    pub attempt: Option<Attempt>,
+}
+
+impl Entry {
+    /// A job as found in the table: `placed` is undone, `running` goes on.
+    pub fn found(row: JobRow, version: Version, now: Millis) -> Self {
+        let mut entry = Self {
+            row,
+            version,
+            since: now,
+            attempt: None,
+        };
+        let members = entry.seats().len();
+        entry.attempt = match entry.row.phase {
+            Phase::Placed { .. } => Some(Attempt::new(
+                Goal::Stop(Cause::Unprepared { worker: None }),
+                members,
+                now,
+            )),
+            Phase::Running { .. } => Some(Attempt::new(Goal::Run, members, now)),
+            _ => None,
+        };
+        entry
+    }
+
+    /// Seats that the row names.
+    pub fn seats(&self) -> &[Seat] {
+        match &self.row.phase {
+            Phase::Placed { seats, .. } | Phase::Running { seats, .. } => seats,
+            _ => &[],
+        }
+    }
+
+    fn free_seats(&self) -> Seats {
+        Seats::Free(self.seats().iter().map(|seat| seat.worker.clone()).collect())
+    }
+
+    /// The job as the decision core sees it.
+    pub fn queued_job(&self) -> QueuedJob {
+        let spec = &self.row.spec;
+        QueuedJob {
+            id: self.row.id.clone(),
+            team: spec.team.clone(),
+            kind: spec.kind.clone(),
+            shape: spec.shape,
+            declared: Millis::from_secs(spec.run_time_s),
+            checkpoints: spec.checkpoints,
+            idempotent: spec.idempotent,
+            urgent: spec.urgent,
+            attempt: self.row.attempt,
+            since: self.since,
+        }
+    }
+
+    /// The command that a member needs now, if any.
+    pub fn action(&self, member: usize) -> Option<Action> {
+        let attempt = self.attempt.as_ref()?;
+        let Member { state, gone } = attempt.members.get(member)?;
+        if *gone {
+            return None;
+        }
+        match (&self.row.phase, &attempt.goal, state) {
+            (Phase::Placed { seats, .. }, Goal::Run, None) => Some(self.prepare(member, &seats[member])),
+            (Phase::Placed { .. }, Goal::Stop(_), None | Some(TaskState::Held)) => Some(Action::Refuse),
+            (Phase::Running { .. }, Goal::Run, None | Some(TaskState::Held)) => Some(Action::Release),
+            (Phase::Running { .. }, Goal::Stop(cause), None | Some(TaskState::Held | TaskState::Running)) => {
+                Some(self.stop(member, cause))
+            }
+            _ => None,
+        }
+    }
+
+    fn prepare(&self, member: usize, seat: &Seat) -> Action {
+        let spec = &self.row.spec;
+        Action::Prepare {
+            kind: spec.kind.clone(),
+            cores: spec.shape.cores,
+            memory_mb: spec.shape.memory_mb,
+            accelerators: seat.accelerators.clone(),
+            members: spec.shape.members,
+            payload: spec.payload.clone(),
+            checkpoint: self.row.checkpoint.as_ref().map(|object| format!("{object}/{member}")),
+        }
+    }
+
+    fn stop(&self, member: usize, cause: &Cause) -> Action {
+        let wanted = self.row.spec.checkpoints && *cause != Cause::Cancelled;
+        let checkpoint = wanted.then(|| format!("{}/{member}", self.checkpoint_name()));
+        Action::Stop {
+            checkpoint,
+            grace_ms: CHECKPOINT_GRACE_MS,
+        }
+    }
+
+    fn checkpoint_name(&self) -> String {
+        format!("checkpoint/{}/{}", self.row.id, self.row.attempt)
+    }
+
+    /// Looks at what the members have come to: changes the goal if it must, and returns the change that is due.
+    pub fn advance(&mut self, now: Millis) -> Option<Change> {
+        self.revise(now);
+        let attempt = self.attempt.as_ref()?;
+        match (&self.row.phase, &attempt.goal) {
+            (Phase::Placed { seats, guaranteed }, Goal::Run) if attempt.members.iter().all(Member::is_held) => {
+                let phase = Phase::Running {
+                    seats: seats.clone(),
+                    guaranteed: *guaranteed,
+                };
+                Some(Change::new(
+                    Step::Run,
+                    JobRow {
+                        phase,
+                        started: true,
+                        ..self.row.clone()
+                    },
+                ))
+            }
+            (Phase::Placed { .. }, Goal::Stop(cause)) if attempt.is_settled() => Some(self.undo(cause)),
+            (Phase::Running { .. }, _) if attempt.is_settled() => Some(self.conclude(attempt)),
+            _ => None,
+        }
+    }
+
+    fn revise(&mut self, now: Millis) {
+        let cancelled = self.row.cancel;
+        let placed = matches!(self.row.phase, Phase::Placed { .. });
+        let seats = self.seats().to_vec();
+        let Some(attempt) = &mut self.attempt else { return };
+        if cancelled {
+            attempt.stop(Cause::Cancelled);
+        }
+        if attempt.goal != Goal::Run {
+            return;
+        }
+        let late = now.since(attempt.since) > if placed { PREPARE_MAX } else { RELEASE_MAX };
+        let mut cause = None;
+        for (member, seat) in attempt.members.iter().zip(&seats) {
+            let worker = seat.worker.clone();
+            cause = match &member.state {
+                Some(TaskState::Failed { reason }) => Some(Cause::Failed {
+                    worker,
+                    reason: reason.clone(),
+                }),
+                Some(TaskState::Finished { .. }) if !member.gone => None,
+                _ if placed && (member.is_settled() || (late && !member.is_held())) => {
+                    Some(Cause::Unprepared { worker: Some(worker) })
+                }
+                _ if member.is_settled() => Some(Cause::Lost { worker }),
+                None | Some(TaskState::Held) if !placed && late => Some(Cause::Lost { worker }),
+                _ => None,
+            };
+            if cause.is_some() {
+                break;
+            }
+        }
+        if let Some(cause) = cause {
+            attempt.stop(cause);
+        }
+    }
+
+    /// Whether all members of a running attempt have been released.
+    pub fn is_released(&self) -> bool {
+        matches!(self.row.phase, Phase::Running { .. })
+            && self
+                .attempt
+                .as_ref()
+                .is_some_and(|attempt| attempt.members.iter().all(Member::surely_ran))
+    }
+
+    fn undo(&self, cause: &Cause) -> Change {
+        let worker = match cause {
+            Cause::Unprepared { worker } => worker.clone(),
+            _ => None,
+        };
+        if self.row.cancel {
+            return self.end(Outcome::Cancelled { ran: self.row.started }, EndKind::Cancelled, None);
+        }
+        let row = JobRow {
+            phase: Phase::Queued,
+            ..self.row.clone()
+        };
+        Change {
+            seats: self.free_seats(),
+            queued: true,
+            worker,
+            ..Change::new(Step::Requeue, row)
+        }
+    }
+
+    /// The end of a running attempt of which no member runs any more.
+    fn conclude(&self, attempt: &Attempt) -> Change {
+        if let Some(answer) = self.answer(attempt) {
+            return self.end(Outcome::Completed { answer }, EndKind::Completed, None);
+        }
+        let (kind, worker, reason) = match &attempt.goal {
+            Goal::Stop(Cause::Failed { worker, reason }) => (EndKind::Failed, Some(worker.clone()), reason.clone()),
+            Goal::Stop(Cause::Lost { worker }) => (
+                EndKind::Lost,
+                Some(worker.clone()),
+                format!("worker {worker} was lost while the job ran"),
+            ),
+            Goal::Stop(Cause::Cancelled) => {
+                let ran = self.row.checkpoint.is_some() || !attempt.members.iter().all(Member::never_ran);
+                return self.end(Outcome::Cancelled { ran }, EndKind::Cancelled, None);
+            }
+            _ => (
+                EndKind::Stopped,
+                None,
+                "the job had to give up its place and cannot be resumed".to_owned(),
+            ),
+        };
+        if let Some(checkpoint) = self.resumable(attempt) {
+            let row = JobRow {
+                phase: Phase::Queued,
+                checkpoint,
+                ..self.row.clone()
+            };
+            let change = Change::new(Step::Requeue, row);
+            return Change {
+                seats: self.free_seats(),
+                queued: true,
+                worker,
+                end: Some(kind),
+                ..change
+            };
+        }
+        if attempt.members.iter().any(Member::surely_ran) {
+            return self.end(Outcome::Failed { reason }, kind, worker);
+        }
+        self.end(Outcome::Unknown { reason }, kind, worker)
+    }
+
+    /// Row of the job back in the queue, if it may go there: it did not run, resumes where it stopped, or is idempotent.
+    fn requeued(&self, attempt: &Attempt) -> Option<JobRow> {
+        let saved = |member: &Member| {
+            !member.gone
+                && matches!(
+                    &member.state,
+                    Some(TaskState::Stopped {
+                        checkpoint: Some(_),
+                        ..
+                    })
+                )
+        };
+        if attempt.members.iter().all(saved) {
+            let checkpoint = Some(self.checkpoint_name());
+            return Some(JobRow {
+                phase: Phase::Queued,
+                checkpoint,
+                ..self.row.clone()
+            });
+        }
+        let unrun = attempt.members.iter().all(Member::never_ran);
+        (unrun || self.row.spec.idempotent).then(|| JobRow {
+            phase: Phase::Queued,
+            ..self.row.clone()
+        })
+    }
+
+    fn answer(&self, attempt: &Attempt) -> Option<serde_json::Value> {
+        let mut answers = Vec::new();
+        for member in &attempt.members {
+            match &member.state {
+                Some(TaskState::Finished { answer }) if !member.gone => answers.push(answer.clone()),
+                _ => return None,
+            }
+        }
+        if self.row.spec.shape.members == 1 {
+            answers.pop()
+        } else {
+            Some(answers.into())
+        }
+    }
+
+    /// The job's end.
+    pub fn end(&self, outcome: Outcome, kind: EndKind, worker: Option<WorkerName>) -> Change {
+        let row = JobRow {
+            phase: Phase::Ended { outcome },
+            ..self.row.clone()
+        };
+        Change {
+            seats: self.free_seats(),
+            worker,
+            end: Some(kind),
+            ..Change::new(Step::End, row)
+        }
+    }
+
+    /// The end of a job that waits and is not to be run, or not to be run again.
+    pub fn reject(&self, reason: NotRunReason, message: String, failed: bool) -> Change {
+        let outcome = match (failed || self.row.started, reason) {
+            (true, _) => Outcome::Failed { reason: message },
+            (false, reason) => Outcome::NotRun { reason, message },
+        };
+        self.end(outcome, EndKind::Stopped, None)
+    }
+
+    /// Whether the job waits and its deadline for a start has passed.
+    pub fn is_overdue(&self, now: Millis) -> bool {
+        let limit = self.row.spec.deadline_s;
+        limit > 0
+            && self.row.phase == Phase::Queued
+            && !self.row.started
+            && now.since(self.since) > Millis::from_secs(limit)
+    }
+}
--- /dev/null
+++ b/src/planner/exchange.rs
@@ -0,0 +1,276 @@
+//! What goes to the workers and what comes back.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::attempt::Cause;
+use super::contact::{Contact, TASK_LEASE};
+use super::controller::Planner;
+use super::request::{Answer, Request, RequestBody};
+use crate::job::Phase;
+use crate::name::{JobId, WorkerName};
+use crate::platform::{Action, Batch, Command, Reply, Report, TaskState, WorkerError};
+use crate::time::Millis;
+
+/// Time between two reports of a worker, by what is expected of it.
+const REPORT_CHANGING: Millis = Millis(200);
+const REPORT_RUNNING: Millis = Millis(1000);
+const REPORT_IDLE: Millis = Millis::from_secs(10);
+/// Commands in one request.
+const COMMANDS_MAX: usize = 256;
+
+/// What a worker is to be asked at this step.
+#[derive(Debug, Default)]
+struct Needs {
+    commands: Vec<Command>,
+    /// Members that are not settled.
+    active: bool,
+    /// Members that are about to change state.
+    changing: bool,
+}
+
+impl Planner {
+    /// Requests that are due.
+    pub(super) fn requests(&mut self, now: Millis, renew: bool) -> Vec<Request> {
+        let mut needs = self.needs();
+        let pool = self.ledger.pool.clone();
+        let epoch = self.ledger.epoch;
+        let mut requests = Vec::new();
+        for (worker, contact) in &mut self.fleet.contacts {
+            if !contact.may_send(now) {
+                continue;
+            }
+            let need = needs.remove(worker).unwrap_or_default();
+            let batch = (contact.boot.is_some()).then(|| batch(contact, need.commands, need.active && renew, now));
+            let body = match batch {
+                Some((commands, renew_ms)) if !commands.is_empty() || renew_ms.is_some() => {
+                    let boot = contact.boot;
+                    RequestBody::Commands(Batch {
+                        pool: pool.clone(),
+                        epoch,
+                        boot,
+                        renew_ms,
+                        commands,
+                    })
+                }
+                _ => {
+                    let pause = match (need.changing, need.active) {
+                        (true, _) => REPORT_CHANGING,
+                        (false, true) => REPORT_RUNNING,
+                        (false, false) => REPORT_IDLE,
+                    };
+                    let due = contact.boot.is_none()
+                        || contact.is_failing()
+                        || contact.reported.is_none_or(|at| now.since(at) >= pause);
+                    if !due {
+                        continue;
+                    }
+                    RequestBody::Report
+                }
+            };
+            contact.busy = true;
+            requests.push(Request {
+                worker: worker.clone(),
+                address: contact.address,
+                body,
+            });
+        }
+        requests
+    }
+
+    fn needs(&self) -> BTreeMap<WorkerName, Needs> {
+        let mut needs: BTreeMap<WorkerName, Needs> = BTreeMap::new();
+        for (id, entry) in &self.entries {
+            let Some(attempt) = &entry.attempt else { continue };
+            for (index, (member, seat)) in attempt.members.iter().zip(entry.seats()).enumerate() {
+                if member.is_settled() {
+                    continue;
+                }
+                let need = needs.entry(seat.worker.clone()).or_default();
+                need.active = true;
+                need.changing |= member.state != Some(TaskState::Running);
+                if let Some(action) = entry.action(index) {
+                    let member = index as u16;
+                    need.commands.push(Command {
+                        job: id.clone(),
+                        attempt: entry.row.attempt,
+                        member,
+                        action,
+                    });
+                }
+            }
+        }
+        needs
+    }
+
+    /// Takes a worker's answer, or its absence.
+    pub fn answered(&mut self, now: Millis, request: &Request, result: Result<Answer, WorkerError>) {
+        let Some(contact) = self.fleet.contacts.get_mut(&request.worker) else {
+            return;
+        };
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::debug!("worker {}: {error}", request.worker);
+                contact.failed(now);
+                return;
+            }
+        };
+        contact.answered(now);
+        match (&request.body, answer) {
+            (RequestBody::Commands(batch), Answer::Replies(replies)) => {
+                for (command, reply) in batch.commands.iter().zip(replies) {
+                    self.replied(&request.worker, command, reply);
+                }
+            }
+            (RequestBody::Report, Answer::Report(report)) => {
+                contact.reported = Some(now);
+                self.reported(&request.worker, &report);
+            }
+            _ => {}
+        }
+    }
+
+    fn replied(&mut self, worker: &WorkerName, command: &Command, reply: Reply) {
+        if command.action == Action::Forget {
+            if let (Some(contact), Reply::Task { .. } | Reply::Rebooted { .. }) =
+                (self.fleet.contacts.get_mut(worker), &reply)
+            {
+                let done = (&command.job, command.attempt, command.member);
+                contact
+                    .forget
+                    .retain(|(job, attempt, member)| (job, *attempt, *member) != done);
+            }
+        }
+        match reply {
+            Reply::Task { state } => self.learn(&command.job, command.attempt, command.member, Some(state)),
+            Reply::Absent => self.learn(&command.job, command.attempt, command.member, None),
+            Reply::Stale { .. } => self.fenced = true,
+            Reply::Rebooted { boot } => self.rebooted(worker, boot),
+            Reply::Busy { reason } => {
+                log::info!("worker {worker} cannot hold job {}: {reason}", command.job);
+                let attempt = self
+                    .entries
+                    .get_mut(&command.job)
+                    .filter(|entry| entry.row.attempt == command.attempt);
+                if let Some(attempt) = attempt.and_then(|entry| entry.attempt.as_mut()) {
+                    attempt.stop(Cause::Unprepared {
+                        worker: Some(worker.clone()),
+                    });
+                }
+            }
+        }
+    }
+
+    /// Notes a member's state; `None` means that its worker knows nothing of it.
+    fn learn(&mut self, job: &JobId, attempt: u32, member: u16, state: Option<TaskState>) {
+        let Some(entry) = self.entries.get_mut(job).filter(|entry| entry.row.attempt == attempt) else {
+            return;
+        };
+        let Some(member) = entry
+            .attempt
+            .as_mut()
+            .and_then(|attempt| attempt.members.get_mut(usize::from(member)))
+        else {
+            return;
+        };
+        match state {
+            Some(state) if !member.gone => member.state = Some(state),
+            Some(_) => {}
+            None => member.gone = true,
+        }
+    }
+
+    /// Counts all that a worker held before its restart as gone.
+    fn rebooted(&mut self, worker: &WorkerName, boot: u64) {
+        let Some(contact) = self.fleet.contacts.get_mut(worker) else {
+            return;
+        };
+        if contact.boot.replace(boot) == Some(boot) {
+            return;
+        }
+        contact.forget.clear();
+        for entry in self.entries.values_mut() {
+            let running = matches!(entry.row.phase, Phase::Running { .. });
+            let seats = entry.seats().to_vec();
+            let Some(attempt) = &mut entry.attempt else { continue };
+            for (member, seat) in attempt.members.iter_mut().zip(&seats) {
+                if seat.worker == *worker && !member.is_settled() && (running || member.state.is_some()) {
+                    member.gone = true;
+                }
+            }
+        }
+    }
+
+    fn reported(&mut self, worker: &WorkerName, report: &Report) {
+        let known = self.fleet.contacts.get(worker).and_then(|contact| contact.boot);
+        if known.is_some() {
+            self.rebooted(worker, report.boot);
+        } else if let Some(contact) = self.fleet.contacts.get_mut(worker) {
+            contact.boot = Some(report.boot);
+        }
+        let mut seen = BTreeSet::new();
+        let mut strays = Vec::new();
+        for task in &report.tasks {
+            if task.pool != self.ledger.pool {
+                continue;
+            }
+            let current = self.entries.get(&task.job).is_some_and(|entry| {
+                entry.row.attempt == task.attempt
+                    && entry
+                        .seats()
+                        .get(usize::from(task.member))
+                        .is_some_and(|seat| seat.worker == *worker)
+            });
+            if current {
+                seen.insert((task.job.clone(), task.member));
+                self.learn(&task.job, task.attempt, task.member, Some(task.state.clone()));
+            } else {
+                strays.push((task.job.clone(), task.attempt, task.member));
+            }
+        }
+        if let Some(contact) = self.fleet.contacts.get_mut(worker) {
+            for stray in strays {
+                if !contact.forget.contains(&stray) {
+                    contact.forget.push(stray);
+                }
+            }
+        }
+        self.miss(worker, &seen);
+    }
+
+    /// Counts members that their worker was known to have, and no longer reports, as gone.
+    fn miss(&mut self, worker: &WorkerName, seen: &BTreeSet<(JobId, u16)>) {
+        for (id, entry) in &mut self.entries {
+            let seats = entry.seats().to_vec();
+            let Some(attempt) = &mut entry.attempt else { continue };
+            for (index, (member, seat)) in attempt.members.iter_mut().zip(&seats).enumerate() {
+                let known = member.state.is_some() && !member.is_settled();
+                if seat.worker == *worker && known && !seen.contains(&(id.clone(), index as u16)) {
+                    member.gone = true;
+                }
+            }
+        }
+    }
+}
+
+/// Commands for a worker and the lease renewal that goes with them.
+fn batch(contact: &mut Contact, mut commands: Vec<Command>, active: bool, now: Millis) -> (Vec<Command>, Option<u64>) {
+    commands.truncate(COMMANDS_MAX);
+    for (job, attempt, member) in contact.forget.iter().take(COMMANDS_MAX - commands.len()) {
+        let (attempt, member) = (*attempt, *member);
+        commands.push(Command {
+            job: job.clone(),
+            attempt,
+            member,
+            action: Action::Forget,
+        });
+    }
+    let prepares = commands
+        .iter()
+        .any(|command| matches!(command.action, Action::Prepare { .. }));
+    let renew = active && !contact.is_failing() && (prepares || contact.renewal_due(now));
+    if renew || prepares {
+        contact.renewal_sent(now);
+    }
+    (commands, renew.then_some(TASK_LEASE.0))
+}
--- /dev/null
+++ b/src/planner/ledger.rs
@@ -0,0 +1,291 @@
+//! The pool's rows in memory and the transactions that change them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::change::{Change, Seats};
+use super::error::PlannerError;
+use crate::job::{JobRow, Phase};
+use crate::name::{JobId, PoolName, WorkerName};
+use crate::platform::{Check, Key, OpId, Put, Row, Step, Table, TableError, Txn, Version};
+use crate::row::{Held, OpIds, WorkerRow, key};
+
+/// Jobs in one transaction; keeps it well below common limits on rows and bytes.
+const JOBS_PER_TXN: usize = 32;
+/// Rows in one read.
+const ROWS_PER_READ: usize = 256;
+
+/// What became of a change.
+#[derive(Debug)]
+pub(super) enum Committed {
+    /// It is written, with this version.
+    Done(Version),
+    /// The job's row is different from what was thought; this is it now.
+    Moved(Option<Box<(JobRow, Version)>>),
+    /// Nothing was written.
+    Refused,
+}
+
+/// Worker rows of a pool, and the right to change them.
+#[derive(Debug)]
+pub(super) struct Ledger {
+    pub table: Arc<dyn Table>,
+    pub ops: Arc<OpIds>,
+    pub pool: PoolName,
+    pub epoch: u64,
+    /// Version of the pool row; every transaction checks it.
+    pub fence: Version,
+    pub workers: BTreeMap<WorkerName, (WorkerRow, Version)>,
+}
+
+/// Reads the content of a row.
+pub(super) fn parse<T>(row: &Row) -> Result<T, PlannerError>
+where
+    T: DeserializeOwned,
+{
+    T::deserialize(&row.value).map_err(|error| PlannerError::Format {
+        key: row.key.clone(),
+        reason: error.to_string(),
+    })
+}
+
+/// Content of a row; the rows' types always serialize.
+pub(super) fn content<T>(value: &T) -> Option<serde_json::Value>
+where
+    T: Serialize,
+{
+    serde_json::to_value(value).ok()
+}
+
+/// All rows under a prefix.
+pub(super) fn scan_all(table: &dyn Table, prefix: &str) -> Result<Vec<Row>, TableError> {
+    let mut rows = Vec::new();
+    let mut after: Option<Key> = None;
+    loop {
+        let page = table.scan(prefix, after.as_deref(), ROWS_PER_READ)?;
+        rows.extend(page.rows);
+        if page.next.is_none() {
+            return Ok(rows);
+        }
+        after = page.next;
+    }
+}
+
+impl Ledger {
+    /// Rows of these jobs; absent ones are left out.
+    pub fn read_jobs(&self, ids: &[JobId]) -> Result<Vec<(JobRow, Version)>, PlannerError> {
+        let mut jobs = Vec::with_capacity(ids.len());
+        for chunk in ids.chunks(ROWS_PER_READ) {
+            let keys: Vec<_> = chunk.iter().map(key::job).collect();
+            for row in self.table.read(&keys)?.into_iter().flatten() {
+                jobs.push((parse(&row)?, row.version));
+            }
+        }
+        Ok(jobs)
+    }
+
+    /// Commits changes, several in one transaction; what became of each, in order.
+    pub fn commit(
+        &mut self,
+        changes: &[Change],
+        versions: &BTreeMap<JobId, Version>,
+    ) -> Result<Vec<Committed>, PlannerError> {
+        let mut results = Vec::with_capacity(changes.len());
+        for chunk in changes.chunks(JOBS_PER_TXN) {
+            match self.commit_chunk(chunk, versions)? {
+                Some(done) => results.extend(done),
+                None if chunk.len() == 1 => results.push(Committed::Refused),
+                // One changed row must not hold up the others.
+                None => {
+                    for change in chunk {
+                        let one = self.commit_chunk(std::slice::from_ref(change), versions)?;
+                        results.extend(one.unwrap_or_else(|| vec![Committed::Refused]));
+                    }
+                }
+            }
+        }
+        Ok(results)
+    }
+
+    /// Commits changes in one transaction; `None` if one of several has met a changed row.
+    fn commit_chunk(
+        &mut self,
+        chunk: &[Change],
+        versions: &BTreeMap<JobId, Version>,
+    ) -> Result<Option<Vec<Committed>>, PlannerError> {
+        let op = self.ops.next();
+        let (txn, rows) = self.transaction(&op, chunk, versions);
+        match self.table.commit(&txn) {
+            Ok(version) => {
+                for (worker, row) in rows {
+                    self.workers.insert(worker, (row, version));
+                }
+                Ok(Some(chunk.iter().map(|_| Committed::Done(version)).collect()))
+            }
+            Err(TableError::Conflict { key, .. }) if key == key::pool(&self.pool) => Err(PlannerError::Fenced),
+            Err(TableError::Conflict { .. }) if chunk.len() > 1 => Ok(None),
+            Err(TableError::Conflict { .. } | TableError::Unknown(_) | TableError::Format(_)) => {
+                self.resolve(&op, chunk, rows.into_keys().collect()).map(Some)
+            }
+            Err(TableError::Unavailable(_) | TableError::Limited) => {
+                Ok(Some(chunk.iter().map(|_| Committed::Refused).collect()))
+            }
+        }
+    }
+
+    /// Reads back what a transaction with an uncertain result has left.
+    fn resolve(
+        &mut self,
+        op: &OpId,
+        chunk: &[Change],
+        workers: BTreeSet<WorkerName>,
+    ) -> Result<Vec<Committed>, PlannerError> {
+        let mut keys: Vec<_> = vec![key::pool(&self.pool)];
+        keys.extend(workers.iter().map(|worker| key::worker(&self.pool, worker)));
+        keys.extend(chunk.iter().map(|change| key::job(&change.row.id)));
+        let mut rows = self.table.read(&keys)?.into_iter();
+        if rows.next().flatten().is_none_or(|row| row.version != self.fence) {
+            return Err(PlannerError::Fenced);
+        }
+        for worker in workers {
+            match rows.next().flatten() {
+                Some(row) => self.workers.insert(worker, (parse(&row)?, row.version)),
+                None => self.workers.insert(worker, (WorkerRow::default(), 0)),
+            };
+        }
+        let mut results = Vec::with_capacity(chunk.len());
+        for row in rows {
+            results.push(match row {
+                Some(row) if row.op == *op => Committed::Done(row.version),
+                Some(row) => Committed::Moved(Some(Box::new((parse(&row)?, row.version)))),
+                None => Committed::Moved(None),
+            });
+        }
+        Ok(results)
+    }
+
+    fn transaction(
+        &self,
+        op: &OpId,
+        chunk: &[Change],
+        versions: &BTreeMap<JobId, Version>,
+    ) -> (Txn, BTreeMap<WorkerName, WorkerRow>) {
+        let mut checks = vec![Check {
+            key: key::pool(&self.pool),
+            version: self.fence,
+        }];
+        let mut puts = Vec::new();
+        let mut rows: BTreeMap<WorkerName, WorkerRow> = BTreeMap::new();
+        for change in chunk {
+            let id = &change.row.id;
+            checks.push(Check {
+                key: key::job(id),
+                version: versions.get(id).copied().unwrap_or(0),
+            });
+            puts.push(Put {
+                key: key::job(id),
+                value: content(&change.row),
+            });
+            let mark = change.queued.then(|| serde_json::json!({}));
+            if change.queued || change.step != Step::Run {
+                puts.push(Put {
+                    key: key::queued(&self.pool, id),
+                    value: mark,
+                });
+            }
+            match &change.seats {
+                Seats::Keep => {}
+                Seats::Take => self.take(change, &mut rows),
+                Seats::Free(workers) => {
+                    for worker in workers {
+                        self.edit(worker, &mut rows).held.retain(|held| held.job != *id);
+                    }
+                }
+            }
+        }
+        for (worker, row) in &rows {
+            let row_key = key::worker(&self.pool, worker);
+            let version = self.workers.get(worker).map_or(0, |(_, version)| *version);
+            checks.push(Check {
+                key: row_key.clone(),
+                version,
+            });
+            puts.push(Put {
+                key: row_key,
+                value: content(row),
+            });
+        }
+        let step = chunk.first().map_or(Step::End, |change| change.step);
+        (
+            Txn {
+                step,
+                op: op.clone(),
+                checks,
+                puts,
+            },
+            rows,
+        )
+    }
+
+    fn take(&self, change: &Change, rows: &mut BTreeMap<WorkerName, WorkerRow>) {
+        let Phase::Placed { seats, .. } = &change.row.phase else {
+            return;
+        };
+        for (member, seat) in (0..).zip(seats) {
+            let held = Held {
+                job: change.row.id.clone(),
+                attempt: change.row.attempt,
+                member,
+                accelerators: seat.accelerators.clone(),
+            };
+            self.edit(&seat.worker, rows).held.push(held);
+        }
+    }
+
+    fn edit<'a>(&self, worker: &WorkerName, rows: &'a mut BTreeMap<WorkerName, WorkerRow>) -> &'a mut WorkerRow {
+        rows.entry(worker.clone())
+            .or_insert_with(|| self.workers.get(worker).map(|(row, _)| row.clone()).unwrap_or_default())
+    }
+
+    /// Writes why a worker is quarantined, or that it no longer is.
+    pub fn quarantine(&mut self, worker: &WorkerName, reason: Option<String>) -> Result<(), PlannerError> {
+        let (mut row, version) = self.workers.get(worker).cloned().unwrap_or_default();
+        row.quarantine = reason;
+        let row_key = key::worker(&self.pool, worker);
+        let txn = Txn {
+            step: Step::Quarantine,
+            op: self.ops.next(),
+            checks: vec![
+                Check {
+                    key: key::pool(&self.pool),
+                    version: self.fence,
+                },
+                Check {
+                    key: row_key.clone(),
+                    version,
+                },
+            ],
+            puts: vec![Put {
+                key: row_key.clone(),
+                value: content(&row),
+            }],
+        };
+        match self.table.commit(&txn) {
+            Ok(version) => {
+                self.workers.insert(worker.clone(), (row, version));
+                Ok(())
+            }
+            Err(TableError::Conflict { key, .. }) if key == key::pool(&self.pool) => Err(PlannerError::Fenced),
+            Err(error) if error.is_unwritten() && !matches!(error, TableError::Conflict { .. }) => Err(error.into()),
+            Err(_) => {
+                if let Some(found) = self.table.read(&[row_key])?.pop().flatten() {
+                    self.workers.insert(worker.clone(), (parse(&found)?, found.version));
+                }
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/planner/mod.rs
@@ -0,0 +1,28 @@
+//! The planner of one pool.
+//!
+//! [`Planner::claim`] takes a pool over and loads its rows. [`Planner::step`] feeds the decision core, commits what it
+//! decides, and returns the requests that workers are to get; [`Planner::answered`] takes their answers. Requests are
+//! carried out by [`Request::carry_out`], in tests at once, in the daemon by a set of threads.
+//!
+//! A job's row says what is certain, the members' states what was last heard. `placed` means that nothing runs: such an
+//! attempt can always be undone. `running` means that members may run: such an attempt ends only when each member is
+//! known to have stopped, or its lease has lapsed. Every transaction checks the pool row, whose version changes only
+//! when the pool changes hands.
+
+mod attempt;
+mod change;
+mod claim;
+mod contact;
+mod controller;
+mod entry;
+mod error;
+mod exchange;
+mod fleet;
+mod ledger;
+mod member;
+mod request;
+
+pub use claim::Claim;
+pub use controller::{Planner, Progress, View};
+pub use error::PlannerError;
+pub use request::{Answer, Request, RequestBody};
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -56,7 +56,7 @@
     },
     /// Never start this attempt; tells if it has started already.
     Refuse,
-    /// The outcome of this attempt is written; drop what is kept of it, and never start it again.
+    /// The attempt is over: stop it if it still runs, drop what is kept of it, and never start it again.
     Forget,
 }
 
