Add a first scheduler that places gangs whole

Cause: the planner and the measurement need a policy to build on. Ruled out: waiting for guarantees and order before the export.

--- /dev/null
+++ b/src/plan/place.rs
@@ -0,0 +1,100 @@
+//! Search for seats: offers of workers, grouped by adjacency.
+
+use std::collections::BTreeMap;
+
+use super::cell;
+use super::fleet::Fleet;
+use crate::job::{Adjacency, Seat, Shape};
+
+/// What a worker can give to a job.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Offer {
+    /// Number of the worker.
+    pub worker: usize,
+    /// Members that fit.
+    pub members: u64,
+    /// Accelerators that may be used.
+    pub free: u64,
+    /// Cost of using it; the lowest is best.
+    pub cost: f64,
+}
+
+/// Group of a worker under an adjacency.
+fn group(fleet: &Fleet, adjacent: Adjacency, worker: usize) -> usize {
+    match adjacent {
+        Adjacency::Worker => worker,
+        Adjacency::Rack => fleet.worker(worker).rack,
+        Adjacency::Domain => fleet.worker(worker).domain,
+        Adjacency::Any => 0,
+    }
+}
+
+/// Cheapest offers that hold the whole gang, all in one group.
+pub(super) fn choose(fleet: &Fleet, shape: &Shape, offers: Vec<Offer>) -> Option<Vec<Offer>> {
+    let need = u64::from(shape.members);
+    if need == 1 {
+        let best = offers.into_iter().min_by(|a, b| a.cost.total_cmp(&b.cost));
+        return best.map(|offer| vec![offer]);
+    }
+    let mut groups = BTreeMap::<usize, Vec<Offer>>::new();
+    for offer in offers {
+        let group = group(fleet, shape.adjacent, offer.worker);
+        groups.entry(group).or_default().push(offer);
+    }
+    let mut best: Option<(f64, Vec<Offer>)> = None;
+    for (_, mut offers) in groups {
+        if offers.iter().map(|offer| offer.members).sum::<u64>() < need {
+            continue;
+        }
+        offers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let mut cost = 0.0;
+        let mut taken = Vec::new();
+        let mut left = need;
+        for mut offer in offers {
+            if left == 0 {
+                break;
+            }
+            offer.members = offer.members.min(left);
+            left -= offer.members;
+            cost += offer.cost * offer.members as f64;
+            taken.push(offer);
+        }
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, taken));
+        }
+    }
+    best.map(|(_, taken)| taken)
+}
+
+/// Seats in the chosen offers.
+pub(super) fn seats(fleet: &Fleet, shape: &Shape, offers: &[Offer]) -> Option<Vec<Seat>> {
+    let mut seats = Vec::with_capacity(usize::from(shape.members));
+    for offer in offers {
+        let mut free = offer.free;
+        for _ in 0..offer.members {
+            let mask = cell::pick(free, u32::from(shape.accelerators))?;
+            free &= !mask;
+            seats.push(Seat {
+                worker: fleet.worker(offer.worker).spec.name.clone(),
+                accelerators: cell::indices(mask),
+            });
+        }
+    }
+    Some(seats)
+}
+
+/// Whether the workers that are there could hold the gang if nothing else ran.
+pub(super) fn possible(fleet: &Fleet, shape: &Shape) -> bool {
+    let mut groups = BTreeMap::<usize, u64>::new();
+    for (index, worker) in fleet.workers().iter().enumerate() {
+        if !worker.up {
+            continue;
+        }
+        let total = groups.entry(group(fleet, shape.adjacent, index)).or_default();
+        *total += worker.empty_members(shape);
+        if *total >= u64::from(shape.members) {
+            return true;
+        }
+    }
+    false
+}
