--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod plan;
 pub mod planner;
 pub mod platform;
+pub mod route;
 pub mod row;
 pub mod team;
 pub mod time;
