Test the planner under kills, freezes, lost answers and outages

Cause: the planner's safety rests on conditional rows and fencing, which only failures show. Change: fixtures in tests/common, nine tests with virtual time; a frozen planner is stepped over in the middle of a request. Ruled out: real processes here; they come with the daemon. Conclusion: the takeover and fencing rules hold at the points tried.

--- a/src/planner/entry.rs
+++ b/src/planner/entry.rs
@@ -234,12 +234,7 @@
                 "the job had to give up its place and cannot be resumed".to_owned(),
             ),
         };
-        if let Some(checkpoint) = self.resumable(attempt) {
-            let row = JobRow {
-                phase: Phase::Queued,
-                checkpoint,
-                ..self.row.clone()
-            };
+        if let Some(row) = self.requeued(attempt) {
             let change = Change::new(Step::Requeue, row);
             return Change {
                 seats: self.free_seats(),
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,273 @@
+//! Fixtures shared by the tests of controllers.
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+use standin::fake::{Link, Platform};
+use standin::worker::Worker;
+use yuccaridge::job::{Class, JobRow, JobSpec, Outcome, Phase, Shape};
+use yuccaridge::name::{JobId, PoolName};
+use yuccaridge::plan::{Scheduler, Weights};
+use yuccaridge::planner::{Claim, Planner, PlannerError, View};
+use yuccaridge::platform::{ListedWorker, Listing, Presence, Put, Step, Table, Txn};
+use yuccaridge::row::{OpIds, key};
+use yuccaridge::team::{Catalog, Guarantee, Kind, Level, Pool, Team};
+use yuccaridge::time::{Clock, Millis};
+
+/// Time by which a test's loop moves on.
+pub const TICK: Millis = Millis(100);
+
+pub fn name<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+/// A worker of a rack with 8 workers; names are `w0`, `w1`, and so on.
+pub fn listed_worker(index: u16) -> ListedWorker {
+    ListedWorker {
+        name: name(&format!("w{index}")),
+        address: ([127, 0, 0, 1], 20_000 + index).into(),
+        rack: name(&format!("r{}", index / 8)),
+        domain: name("d0"),
+        cores: 64,
+        memory_mb: 256_000,
+        accelerators: 8,
+        slots: 8,
+        connections: 60,
+        presence: Presence::Live,
+    }
+}
+
+/// A platform with this many workers.
+pub fn platform(workers: u16) -> Arc<Platform> {
+    let platform = Platform::new();
+    for index in 0..workers {
+        platform.add_worker(Worker::new(listed_worker(index), 1.0));
+    }
+    platform
+}
+
+/// Pool `p`, kind `k`, and the teams `a` (one guaranteed worker of 8 accelerators) and `b`.
+pub fn catalog() -> Catalog {
+    let kinds = BTreeSet::from([name("k"), name("c")]);
+    let guarantee = Guarantee {
+        pool: name("p"),
+        level: Level::Worker,
+        accelerators: 8,
+        count: 1,
+    };
+    let team = |guarantees| Team {
+        guarantees,
+        quota: 1000,
+        weight: 1,
+        kinds: kinds.clone(),
+    };
+    Catalog {
+        number: 1,
+        teams: BTreeMap::from([(name("a"), team(vec![guarantee])), (name("b"), team(Vec::new()))]),
+        kinds: BTreeMap::from([
+            (
+                name("k"),
+                Kind {
+                    class: Class::Batch,
+                    about: String::new(),
+                },
+            ),
+            (
+                name("c"),
+                Kind {
+                    class: Class::Call,
+                    about: String::new(),
+                },
+            ),
+        ]),
+        pools: BTreeMap::from([(
+            name("p"),
+            Pool {
+                domains: BTreeSet::from([name("d0")]),
+                racks: BTreeSet::new(),
+            },
+        )]),
+    }
+}
+
+/// An idempotent batch job of team `b` with members that hold 8 accelerators each and work for `work_ms`.
+pub fn gang(members: u16, work_ms: u64) -> JobSpec {
+    JobSpec {
+        team: name("b"),
+        kind: name("k"),
+        class: Class::Batch,
+        idempotent: true,
+        shape: Shape {
+            members,
+            accelerators: 8,
+            ..Shape::default()
+        },
+        run_time_s: work_ms.div_ceil(1000),
+        deadline_s: 0,
+        checkpoints: false,
+        urgent: false,
+        pool: None,
+        payload: json!({ "work_ms": work_ms, "answer": "done" }),
+    }
+}
+
+/// One instance's planner, its link, and what it was told.
+#[derive(Debug)]
+pub struct Host {
+    pub platform: Arc<Platform>,
+    pub link: Arc<Link>,
+    pub catalog: Catalog,
+    pub planner: Planner,
+    pub live: bool,
+    pub renew: bool,
+}
+
+fn claim(platform: &Arc<Platform>, link: &Arc<Link>, instance: &str) -> Result<Planner, PlannerError> {
+    let pool: PoolName = name("p");
+    let version = platform.table.read(&[key::pool(&pool)]).expect("read")[0]
+        .as_ref()
+        .map_or(0, |row| row.version);
+    let table: Arc<dyn Table> = Arc::<Link>::clone(link);
+    let claim = Claim {
+        pool: pool.clone(),
+        instance: name(instance),
+        boot: "1".to_owned(),
+        version,
+        checks: Vec::new(),
+        table,
+        ops: Arc::new(OpIds::new(&name(instance), "1")),
+    };
+    Planner::claim(
+        claim,
+        Box::new(Scheduler::new(pool, Weights::default())),
+        platform.clock.now(),
+    )
+}
+
+impl Host {
+    /// An instance that has just taken the pool over.
+    pub fn start(platform: &Arc<Platform>, instance: &str) -> Self {
+        let link = Link::new(platform);
+        let planner = claim(platform, &link, instance).expect("the pool is free to take");
+        Self {
+            platform: Arc::clone(platform),
+            link,
+            catalog: catalog(),
+            planner,
+            live: true,
+            renew: true,
+        }
+    }
+
+    /// One step at the present time, with all requests carried out.
+    pub fn step(&mut self) -> Result<(), PlannerError> {
+        let workers = self.platform_workers();
+        let view = View {
+            live: self.live,
+            renew: self.renew,
+            catalog: &self.catalog,
+            workers: &workers,
+        };
+        let progress = self.planner.step(self.platform.clock.now(), view)?;
+        for request in progress.requests {
+            let result = request.carry_out(self.link.as_ref());
+            self.planner.answered(self.platform.clock.now(), &request, result);
+        }
+        Ok(())
+    }
+
+    fn platform_workers(&self) -> BTreeMap<yuccaridge::name::WorkerName, ListedWorker> {
+        let listed = Link::new(&self.platform).list().expect("the list is there");
+        listed
+            .workers
+            .into_iter()
+            .map(|worker| (worker.name.clone(), worker))
+            .collect()
+    }
+
+    /// Steps for so long, moving the clock on; errors other than being fenced off are the planner's to handle.
+    pub fn run_for(&mut self, span: Millis) -> Result<(), PlannerError> {
+        let end = self.platform.clock.now() + span;
+        while self.platform.clock.now() < end {
+            self.step()?;
+            self.platform.clock.advance(TICK);
+        }
+        self.step()
+    }
+}
+
+/// Writes a job as an accepted one.
+pub fn submit(platform: &Platform, id: &str, spec: JobSpec) -> JobId {
+    let id: JobId = name(id);
+    let row = JobRow {
+        id: id.clone(),
+        spec,
+        digest: String::new(),
+        pool: name("p"),
+        attempt: 0,
+        phase: Phase::Queued,
+        cancel: false,
+        started: false,
+        checkpoint: None,
+        trace: None,
+    };
+    write(platform, &row, true);
+    id
+}
+
+/// Writes a job's row, and whether it is in the queue, whatever was there.
+pub fn write(platform: &Platform, row: &JobRow, queued: bool) {
+    let puts = vec![
+        Put {
+            key: key::job(&row.id),
+            value: Some(serde_json::to_value(row).expect("rows serialize")),
+        },
+        Put {
+            key: key::queued(&row.pool, &row.id),
+            value: queued.then(|| json!({})),
+        },
+    ];
+    let op = yuccaridge::platform::OpId(format!("test-{}-{}", row.id, platform.table.usage().commits));
+    platform
+        .table
+        .commit(&Txn {
+            step: Step::Accept,
+            op,
+            checks: Vec::new(),
+            puts,
+        })
+        .expect("no check can fail");
+}
+
+/// A job's row.
+pub fn job(platform: &Platform, id: &JobId) -> JobRow {
+    let row = platform
+        .table
+        .read(&[key::job(id)])
+        .expect("the table answers")
+        .remove(0)
+        .expect("the job exists");
+    serde_json::from_value(row.value).expect("a job row")
+}
+
+/// A job's outcome, if it has ended.
+pub fn outcome(platform: &Platform, id: &JobId) -> Option<Outcome> {
+    match job(platform, id).phase {
+        Phase::Ended { outcome } => Some(outcome),
+        _ => None,
+    }
+}
+
+/// The answer of a completed job.
+pub fn answer(platform: &Platform, id: &JobId) -> Option<Value> {
+    match outcome(platform, id) {
+        Some(Outcome::Completed { answer }) => Some(answer),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/tests/planner.rs
@@ -0,0 +1,263 @@
+//! The planner of one pool: life of a batch job, takeover, fencing, lost answers, lost workers.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use common::{Host, answer, gang, job, name, outcome, platform, submit, write};
+use serde_json::json;
+use standin::fake::{Fault, Side};
+use standin::record::Deed;
+use yuccaridge::job::{Outcome, Phase};
+use yuccaridge::planner::PlannerError;
+use yuccaridge::platform::Step;
+use yuccaridge::time::Millis;
+
+const SECOND: Millis = Millis::from_secs(1);
+
+/// Guards against a job's life costing more than four commits: accept, place, run, end.
+#[test]
+fn batch_job_completes_in_four_commits() {
+    let platform = platform(8);
+    let mut host = Host::start(&platform, "i0");
+    let before = platform.table.usage().commits;
+    let id = submit(&platform, "j", gang(4, 2000));
+    host.planner.wake(id.clone());
+
+    host.run_for(Millis::from_secs(5)).expect("not fenced");
+
+    assert_eq!(answer(&platform, &id), Some(json!(["done", "done", "done", "done"])));
+    assert_eq!(platform.table.usage().commits - before, 4);
+}
+
+/// Guards against accelerators that stay taken after the end, and against workers that keep ended tasks.
+#[test]
+fn end_frees_seats_and_worker_memory() {
+    let platform = platform(8);
+    let mut host = Host::start(&platform, "i0");
+    for round in 0..5 {
+        let id = submit(&platform, &format!("j{round}"), gang(8, 500));
+        host.planner.wake(id.clone());
+
+        host.run_for(Millis::from_secs(3)).expect("not fenced");
+
+        assert!(
+            answer(&platform, &id).is_some(),
+            "round {round}: {:?}",
+            job(&platform, &id)
+        );
+    }
+    for index in 0..8 {
+        let report = platform.with_worker(&name(&format!("w{index}")), standin::worker::Worker::report);
+        assert!(report.expect("the worker exists").tasks.is_empty());
+    }
+}
+
+/// Guards against a takeover that loses, repeats or splits a running gang.
+#[test]
+fn successor_finishes_what_runs() {
+    let platform = platform(8);
+    let mut first = Host::start(&platform, "i0");
+    let id = submit(&platform, "j", gang(4, 5000));
+    first.planner.wake(id.clone());
+    first.run_for(Millis::from_secs(2)).expect("not fenced");
+    assert!(matches!(job(&platform, &id).phase, Phase::Running { .. }));
+
+    let mut second = Host::start(&platform, "i1");
+    second.run_for(Millis::from_secs(6)).expect("not fenced");
+
+    assert!(answer(&platform, &id).is_some());
+    assert_eq!(
+        platform
+            .record()
+            .iter()
+            .filter(|entry| entry.deed == Deed::Started)
+            .count(),
+        4
+    );
+    assert_eq!(
+        first.step(),
+        Ok(()),
+        "a former holder learns of it at its next commit or command"
+    );
+    submit(&platform, "k", gang(1, 100));
+    assert_eq!(first.run_for(Millis::from_secs(12)), Err(PlannerError::Fenced));
+}
+
+/// Guards against a frozen planner that releases a gang which its successor has undone, at each step of the start.
+#[test]
+fn frozen_planner_cannot_start_what_was_undone() {
+    for step in [Step::Place, Step::Prepare, Step::Run, Step::Release] {
+        for side in [Side::Before, Side::After] {
+            let platform = platform(4);
+            let mut frozen = Host::start(&platform, "i0");
+            let id = submit(&platform, "j", gang(2, 1000));
+            frozen.planner.wake(id.clone());
+            let once = AtomicBool::new(false);
+            let shared = Arc::clone(&platform);
+            frozen.link.set_hook(move |point| {
+                if point.step == step && point.side == side && !once.swap(true, Ordering::Relaxed) {
+                    let mut successor = Host::start(&shared, "i1");
+                    successor
+                        .run_for(Millis::from_secs(8))
+                        .expect("the successor holds the pool");
+                }
+                Fault::None
+            });
+
+            let fenced = frozen.run_for(Millis::from_secs(6));
+
+            assert_eq!(fenced, Err(PlannerError::Fenced), "{step:?} {side:?}");
+            assert!(
+                answer(&platform, &id).is_some(),
+                "{step:?} {side:?}: {:?}",
+                job(&platform, &id)
+            );
+            let started = platform
+                .record()
+                .into_iter()
+                .filter(|entry| entry.deed == Deed::Started)
+                .count();
+            assert_eq!(started, 2, "{step:?} {side:?}");
+        }
+    }
+}
+
+/// Guards against doubled or lost jobs when the table's answer is lost, before or after the write.
+#[test]
+fn lost_answers_change_nothing() {
+    for step in [
+        Step::Place,
+        Step::Run,
+        Step::End,
+        Step::Prepare,
+        Step::Release,
+        Step::Forget,
+    ] {
+        for side in [Side::Before, Side::After] {
+            let platform = platform(4);
+            let mut host = Host::start(&platform, "i0");
+            let once = AtomicBool::new(false);
+            host.link.set_hook(move |point| {
+                let hit = point.step == step && point.side == side && !once.swap(true, Ordering::Relaxed);
+                if hit { Fault::Cut } else { Fault::None }
+            });
+            let id = submit(&platform, "j", gang(2, 1000));
+            host.planner.wake(id.clone());
+
+            host.run_for(Millis::from_secs(8)).expect("not fenced");
+
+            assert!(
+                answer(&platform, &id).is_some(),
+                "{step:?} {side:?}: {:?}",
+                job(&platform, &id)
+            );
+            let started = platform
+                .record()
+                .into_iter()
+                .filter(|entry| entry.deed == Deed::Started)
+                .count();
+            assert_eq!(started, 2, "{step:?} {side:?}");
+        }
+    }
+}
+
+/// Guards against a gang that goes on in part when one of its workers dies, and against rerunning one that must not.
+#[test]
+fn dead_worker_ends_the_whole_attempt() {
+    for idempotent in [true, false] {
+        let platform = platform(4);
+        let mut host = Host::start(&platform, "i0");
+        let spec = yuccaridge::job::JobSpec {
+            idempotent,
+            team: name("a"),
+            ..gang(1, 60_000)
+        };
+        let id = submit(&platform, "j", spec);
+        host.planner.wake(id.clone());
+        host.run_for(Millis::from_secs(2)).expect("not fenced");
+        let Phase::Running { seats, .. } = job(&platform, &id).phase else {
+            panic!("it runs")
+        };
+        platform.with_worker(&seats[0].worker, standin::worker::Worker::kill);
+
+        host.run_for(Millis::from_secs(120)).expect("not fenced");
+
+        match outcome(&platform, &id) {
+            Some(Outcome::Completed { .. }) => assert!(idempotent),
+            Some(Outcome::Failed { .. }) => assert!(!idempotent),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Guards against members that go on running after one of their gang failed.
+#[test]
+fn failed_member_stops_the_others() {
+    let platform = platform(4);
+    let mut host = Host::start(&platform, "i0");
+    platform.with_worker(&name("w1"), |worker, _| worker.set_fails_all(true));
+    let spec = yuccaridge::job::JobSpec {
+        idempotent: false,
+        checkpoints: true,
+        payload: json!({ "work_ms": 3000, "fail": "no such catalogue" }),
+        ..gang(2, 3000)
+    };
+    let id = submit(&platform, "j", spec);
+    host.planner.wake(id.clone());
+
+    host.run_for(Millis::from_secs(10)).expect("not fenced");
+
+    let Some(Outcome::Failed { reason }) = outcome(&platform, &id) else {
+        panic!("{:?}", job(&platform, &id))
+    };
+    assert_eq!(reason, "no such catalogue");
+}
+
+/// Guards against a cancel that is said to be done while members still run.
+#[test]
+fn cancel_stops_before_it_is_written() {
+    let platform = platform(4);
+    let mut host = Host::start(&platform, "i0");
+    let id = submit(&platform, "j", gang(2, 60_000));
+    host.planner.wake(id.clone());
+    host.run_for(Millis::from_secs(2)).expect("not fenced");
+    let mut row = job(&platform, &id);
+    row.cancel = true;
+    write(&platform, &row, true);
+
+    host.run_for(Millis::from_secs(7)).expect("not fenced");
+
+    assert_eq!(outcome(&platform, &id), Some(Outcome::Cancelled { ran: true }));
+    let record = platform.record();
+    assert_eq!(record.iter().filter(|entry| entry.deed == Deed::Stopped).count(), 2);
+}
+
+/// Guards against running tasks that end because the table is away, and against outcomes that get lost with it.
+#[test]
+fn outage_keeps_tasks_and_outcomes() {
+    let platform = platform(4);
+    let mut host = Host::start(&platform, "i0");
+    let id = submit(&platform, "j", gang(2, 60_000));
+    host.planner.wake(id.clone());
+    host.run_for(Millis::from_secs(2)).expect("not fenced");
+    let down = Arc::new(AtomicBool::new(true));
+    let seen = Arc::clone(&down);
+    host.link.set_hook(move |point| {
+        if point.worker.is_none() && seen.load(Ordering::Relaxed) {
+            Fault::Cut
+        } else {
+            Fault::None
+        }
+    });
+    host.live = false;
+
+    host.run_for(Millis::from_secs(600)).expect("not fenced");
+    let during = outcome(&platform, &id);
+    down.store(false, Ordering::Relaxed);
+    host.run_for(SECOND + SECOND + SECOND).expect("not fenced");
+
+    assert_eq!(during, None);
+    assert!(answer(&platform, &id).is_some());
+}
