Keep large answers in the object store and quarantine over takeovers

Cause: rows must stay small, and a new planner would place on a worker that a former one had quarantined. Change: JobRow::stored with detach_answer and attach_answer; the planner writes the object before the end; event WorkerQuarantined tells the decision core what the worker rows say. Ruled out: ending the job first, since a caller could then find it completed without its answer. Figures: the limit is 16 KiB of JSON. Conclusion: an object store outage delays an end and loses no answer.

--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -9,6 +9,6 @@
 mod spec;
 
 pub use outcome::{NotRunReason, Outcome};
-pub use row::{JobRow, Phase, Seat};
+pub use row::{JobRow, Phase, ROW_ANSWER_BYTES_MAX, Seat};
 pub use shape::{Adjacency, Shape, ShapeError};
 pub use spec::{Class, JobSpec};
--- a/src/job/row.rs
+++ b/src/job/row.rs
@@ -48,6 +48,9 @@
     },
 }
 
+/// Largest answer, in bytes of JSON, that a row holds; larger ones go to the object store.
+pub const ROW_ANSWER_BYTES_MAX: usize = 16 * 1024;
+
 /// A job as the table holds it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRow {
@@ -73,7 +76,41 @@
     /// Object that holds the newest checkpoint.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
+    /// Object that holds the answer of a completed job, if it is too large for the row; the row's answer is null then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stored: Option<String>,
     /// W3C `traceparent` of the submitting request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub trace: Option<String>,
 }
+
+impl JobRow {
+    /// Moves a large answer out of the row; the name and content of the object to write before the row.
+    pub fn detach_answer(&mut self) -> Option<(String, Vec<u8>)> {
+        let Phase::Ended {
+            outcome: Outcome::Completed { answer },
+        } = &mut self.phase
+        else {
+            return None;
+        };
+        let bytes = serde_json::to_vec(answer)
+            .ok()
+            .filter(|bytes| bytes.len() > ROW_ANSWER_BYTES_MAX)?;
+        let name = format!("answer/{}/{}", self.id, self.attempt);
+        *answer = serde_json::Value::Null;
+        self.stored = Some(name.clone());
+        Some((name, bytes))
+    }
+
+    /// Puts an answer back that was moved out.
+    pub fn attach_answer(&mut self, bytes: &[u8]) -> Result<(), serde_json::Error> {
+        if let Phase::Ended {
+            outcome: Outcome::Completed { answer },
+        } = &mut self.phase
+        {
+            *answer = serde_json::from_slice(bytes)?;
+            self.stored = None;
+        }
+        Ok(())
+    }
+}
--- a/src/plan/event.rs
+++ b/src/plan/event.rs
@@ -88,6 +88,8 @@
     WorkerUp(WorkerSpec),
     /// A worker gets nothing new; what runs there goes on.
     WorkerLeaving(WorkerName),
+    /// A worker is in quarantine, as a former planner found; it gets nothing but a probe.
+    WorkerQuarantined(WorkerName),
     /// A worker is gone; its jobs are reported by `Ended` one by one.
     WorkerDown(WorkerName),
     /// A job was accepted, or is to run again.
--- a/src/plan/scheduler.rs
+++ b/src/plan/scheduler.rs
@@ -119,6 +119,7 @@
             Event::WorkerUp(spec) => {
                 self.fleet.join(spec);
             }
+            Event::WorkerQuarantined(_) => {}
             Event::WorkerLeaving(name) => {
                 let index = self.fleet.enter(&name);
                 self.fleet.update(index, |worker| worker.leaving = true);
--- a/src/planner/claim.rs
+++ b/src/planner/claim.rs
@@ -7,7 +7,7 @@
 use super::ledger::{Ledger, content, parse, scan_all};
 use crate::job::JobRow;
 use crate::name::{InstanceName, JobId, PoolName};
-use crate::platform::{Check, Put, Step, Table, TableError, Txn, Version};
+use crate::platform::{Check, Objects, Put, Step, Table, TableError, Txn, Version};
 use crate::row::{OpIds, PoolRow, WorkerRow, key};
 
 /// Wish of an instance to plan a pool.
@@ -25,6 +25,8 @@
     pub checks: Vec<Check>,
     /// The table.
     pub table: Arc<dyn Table>,
+    /// The object store, for answers that are too large for a row.
+    pub objects: Arc<dyn Objects>,
     /// Identifiers for transactions.
     pub ops: Arc<OpIds>,
 }
@@ -71,6 +73,7 @@
         };
         Ok(Ledger {
             table: self.table,
+            objects: self.objects,
             ops: self.ops,
             pool: self.pool,
             epoch,
--- a/src/planner/controller.rs
+++ b/src/planner/controller.rs
@@ -172,7 +172,8 @@
         if !self.announced {
             self.announced = true;
             let entries: Vec<_> = self.entries.values().map(|entry| announcement(entry, now)).collect();
-            for event in entries {
+            let quarantined = self.quarantined().into_keys().map(Event::WorkerQuarantined);
+            for event in entries.into_iter().chain(quarantined) {
                 self.policy.apply(now, event);
             }
         }
@@ -325,7 +326,14 @@
             return Ok(());
         }
         let mut by_step: BTreeMap<Step, Vec<Change>> = BTreeMap::new();
-        for change in changes {
+        for mut change in changes {
+            // A job ends only after its answer is safe; until then the end is tried again at each step.
+            if let Some((name, bytes)) = change.row.detach_answer()
+                && let Err(error) = self.ledger.objects.put(&name, &bytes)
+            {
+                log::warn!("job {}: {error}", change.row.id);
+                continue;
+            }
             by_step.entry(change.step).or_default().push(change);
         }
         for changes in by_step.into_values() {
--- a/src/planner/exchange.rs
+++ b/src/planner/exchange.rs
@@ -131,15 +131,13 @@
     }
 
     fn replied(&mut self, worker: &WorkerName, command: &Command, reply: Reply) {
-        if command.action == Action::Forget {
-            if let (Some(contact), Reply::Task { .. } | Reply::Rebooted { .. }) =
-                (self.fleet.contacts.get_mut(worker), &reply)
-            {
-                let done = (&command.job, command.attempt, command.member);
-                contact
-                    .forget
-                    .retain(|(job, attempt, member)| (job, *attempt, *member) != done);
-            }
+        if command.action == Action::Forget
+            && let (Some(contact), Reply::Task { .. }) = (self.fleet.contacts.get_mut(worker), &reply)
+        {
+            let done = (&command.job, command.attempt, command.member);
+            contact
+                .forget
+                .retain(|(job, attempt, member)| (job, *attempt, *member) != done);
         }
         match reply {
             Reply::Task { state } => self.learn(&command.job, command.attempt, command.member, Some(state)),
--- a/src/planner/ledger.rs
+++ b/src/planner/ledger.rs
@@ -10,7 +10,7 @@
 use super::error::PlannerError;
 use crate::job::{JobRow, Phase};
 use crate::name::{JobId, PoolName, WorkerName};
-use crate::platform::{Check, Key, OpId, Put, Row, Step, Table, TableError, Txn, Version};
+use crate::platform::{Check, Key, Objects, OpId, Put, Row, Step, Table, TableError, Txn, Version};
 use crate::row::{Held, OpIds, WorkerRow, key};
 
 /// Jobs in one transaction; keeps it well below common limits on rows and bytes.
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub(super) struct Ledger {
     pub table: Arc<dyn Table>,
+    pub objects: Arc<dyn Objects>,
     pub ops: Arc<OpIds>,
     pub pool: PoolName,
     pub epoch: u64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use yuccaridge::name::{JobId, PoolName};
 use yuccaridge::plan::{Scheduler, Weights};
 use yuccaridge::planner::{Claim, Planner, PlannerError, View};
-use yuccaridge::platform::{ListedWorker, Listing, Presence, Put, Step, Table, Txn};
+use yuccaridge::platform::{ListedWorker, Listing, Objects, Presence, Put, Step, Table, Txn};
 use yuccaridge::row::{OpIds, key};
 use yuccaridge::team::{Catalog, Guarantee, Kind, Level, Pool, Team};
 use yuccaridge::time::{Clock, Millis};
@@ -134,6 +134,7 @@
         .as_ref()
         .map_or(0, |row| row.version);
     let table: Arc<dyn Table> = Arc::<Link>::clone(link);
+    let objects: Arc<dyn Objects> = Arc::<Link>::clone(link);
     let claim = Claim {
         pool: pool.clone(),
         instance: name(instance),
@@ -141,6 +142,7 @@
         version,
         checks: Vec::new(),
         table,
+        objects,
         ops: Arc::new(OpIds::new(&name(instance), "1")),
     };
     Planner::claim(
@@ -215,6 +217,7 @@
         cancel: false,
         started: false,
         checkpoint: None,
+        stored: None,
         trace: None,
     };
     write(platform, &row, true);
