Hold pools by rendezvous ownership, hand them over on drain

Cause: planners have to start, move and stop with the instances. Ruled out: deleting the pool row at handover, since the epoch must never go back.

--- /dev/null
+++ b/src/instance/outage.rs
@@ -0,0 +1,58 @@
+//! What the peers say about the table.
+//!
+//! An instance without a live session cannot tell whether the table is down for all or for itself alone. If every
+//! member that it last knew says that it has the same ticket and no live session either, then nobody can have taken a
+//! ticket or a pool in the meantime. What a peer said is used for a short time only.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use crate::name::InstanceName;
+use crate::time::Millis;
+
+/// Time for which what a peer said is used.
+const HEARD_MAX: Millis = Millis::from_secs(3);
+/// Longest outage in which idempotent calls go on from cached state.
+const CACHED_MAX: Millis = Millis::from_secs(15 * 60);
+
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    at: Millis,
+    ticket: u64,
+    live: bool,
+}
+
+/// Last word of each peer.
+#[derive(Debug, Default)]
+pub struct Outage(Mutex<BTreeMap<InstanceName, Heard>>);
+
+impl Outage {
+    /// Notes what a peer says of its ticket and its session.
+    pub fn heard(&self, now: Millis, peer: InstanceName, ticket: u64, live: bool) {
+        let heard = Heard { at: now, ticket, live };
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(peer, heard);
+    }
+
+    /// Whether every one of these members but `me` said of late that it has this ticket and no live session.
+    pub fn is_shared<'a, I>(&self, now: Millis, me: &InstanceName, ticket: u64, members: I) -> bool
+    where
+        I: IntoIterator<Item = &'a InstanceName>,
+    {
+        let heard = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for member in members {
+            if member == me {
+                continue;
+            }
+            let Some(word) = heard.get(member) else { return false };
+            if word.live || word.ticket != ticket || now.since(word.at) > HEARD_MAX {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Whether an outage that began at `since` is short enough for cached state.
+    pub fn allows_cache(now: Millis, since: Millis) -> bool {
+        now.since(since) <= CACHED_MAX
+    }
+}
--- /dev/null
+++ b/src/instance/pools.rs
@@ -0,0 +1,272 @@
+//! The pools that this instance plans.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::member::Member;
+use crate::name::{InstanceName, JobId, PoolName, WorkerName};
+use crate::plan::{Policy, Scheduler, Weights};
+use crate::planner::{Answer, Claim, Planner, PlannerError, Request, View};
+use crate::platform::{Check, ListedWorker, Objects, Presence, Table, TableError, Version, WorkerError};
+use crate::row::{OpIds, PoolRow, key};
+use crate::session::Session;
+use crate::team::Catalog;
+use crate::time::Millis;
+
+/// Time between two looks at who holds which pool.
+const CLAIM_EVERY: Millis = Millis(300);
+/// Time for which another instance must be the better owner before a pool is handed to it.
+const HANDOVER_AFTER: Millis = Millis::from_secs(10);
+
+/// A request of one pool's planner.
+#[derive(Debug)]
+pub struct PoolRequest {
+    /// The pool.
+    pub pool: PoolName,
+    /// Epoch of the planner that made it.
+    pub epoch: u64,
+    /// The request.
+    pub request: Request,
+}
+
+/// What one step of all planners came to.
+#[derive(Debug, Default)]
+pub struct PoolProgress {
+    /// Requests to carry out.
+    pub requests: Vec<PoolRequest>,
+    /// Jobs that ended.
+    pub ended: Vec<JobId>,
+}
+
+#[derive(Debug)]
+struct Plan {
+    planner: Planner,
+    /// Since when another instance is the better owner.
+    surplus: Option<Millis>,
+}
+
+type Plans = BTreeMap<PoolName, Plan>;
+
+/// What other threads may see and leave while the planners are stepped.
+#[derive(Debug, Default)]
+struct State {
+    holders: BTreeMap<PoolName, InstanceName>,
+    wakes: Vec<(PoolName, JobId)>,
+    waiting: BTreeMap<PoolName, usize>,
+    quarantined: BTreeMap<WorkerName, String>,
+    due: Millis,
+}
+
+/// Planners of the pools that this instance holds.
+pub struct Pools {
+    session: Arc<Session>,
+    member: Arc<Member>,
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    ops: Arc<OpIds>,
+    weights: Weights,
+    /// Locked during requests to the table, so only the stepping thread takes it.
+    plans: Mutex<Plans>,
+    state: Mutex<State>,
+}
+
+impl fmt::Debug for Pools {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pools").field("instance", self.session.instance()).finish_non_exhaustive()
+    }
+}
+
+impl Pools {
+    /// No pool is held yet.
+    pub fn new(
+        session: Arc<Session>,
+        member: Arc<Member>,
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        ops: Arc<OpIds>,
+        weights: Weights,
+    ) -> Self {
+        Self { session, member, table, objects, ops, weights, plans: Mutex::default(), state: Mutex::default() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn plans(&self) -> MutexGuard<'_, Plans> {
+        self.plans.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Claims what this instance should hold, hands over what it should not, and steps its planners. `renew` says
+    /// whether task leases may be renewed. Only one thread calls this and [`Pools::answered`].
+    pub fn step(&self, now: Millis, renew: bool) -> PoolProgress {
+        let live = self.session.is_live(now);
+        let catalog = self.session.cached();
+        let mut plans = self.plans();
+        if live && now >= self.state().due {
+            self.state().due = now + CLAIM_EVERY;
+            self.hand_over(now, &mut plans);
+            if let Err(error) = self.claim(now, &catalog, &mut plans) {
+                log::warn!("pools cannot be claimed: {error}");
+            }
+        }
+        for (pool, job) in std::mem::take(&mut self.state().wakes) {
+            if let Some(plan) = plans.get_mut(&pool) {
+                plan.planner.wake(job);
+            }
+        }
+        let workers = self.open_workers();
+        let view = View { live, renew, catalog: &catalog, workers: &workers };
+        let mut progress = PoolProgress::default();
+        plans.retain(|pool, plan| match plan.planner.step(now, view) {
+            Ok(step) => {
+                let epoch = plan.planner.epoch();
+                let requests = step.requests.into_iter();
+                progress.requests.extend(requests.map(|request| PoolRequest { pool: pool.clone(), epoch, request }));
+                progress.ended.extend(step.ended);
+                true
+            }
+            Err(error) => {
+                log::warn!("pool {pool}: no longer planned here: {error}");
+                false
+            }
+        });
+        self.summarize(&plans);
+        progress
+    }
+
+    fn summarize(&self, plans: &Plans) {
+        let mut state = self.state();
+        state.waiting = plans.iter().map(|(pool, plan)| (pool.clone(), plan.planner.waiting())).collect();
+        state.quarantined = plans.values().flat_map(|plan| plan.planner.quarantined()).collect();
+    }
+
+    /// Listed workers; one that is missing from the list counts as leaving.
+    fn open_workers(&self) -> BTreeMap<WorkerName, ListedWorker> {
+        let known = self.member.workers();
+        let workers = known.iter().map(|(name, worker)| {
+            let mut listed = worker.listed.clone();
+            if !worker.is_open() {
+                listed.presence = Presence::Leaving;
+            }
+            (name.clone(), listed)
+        });
+        workers.collect()
+    }
+
+    fn claim(&self, now: Millis, catalog: &Catalog, plans: &mut Plans) -> Result<(), TableError> {
+        let me = self.session.instance();
+        let missing: Vec<_> = catalog.pools.keys().filter(|pool| !plans.contains_key(*pool)).collect();
+        if missing.is_empty() {
+            return Ok(());
+        }
+        let keys: Vec<_> = missing.iter().map(|pool| key::pool(pool)).collect();
+        for (pool, row) in missing.into_iter().zip(self.table.read(&keys)?) {
+            let found: Option<(PoolRow, Version)> =
+                row.and_then(|row| Some((serde_json::from_value(row.value).ok()?, row.version)));
+            if let Some((row, _)) = &found {
+                self.state().holders.insert(pool.clone(), row.holder.clone());
+            }
+            if self.session.is_draining() || self.member.owner(now, pool).as_ref() != Some(me) {
+                continue;
+            }
+            let mut checks = Vec::new();
+            if let Some((row, _)) = &found {
+                let mine = row.holder == *me && row.boot == self.session.boot();
+                if !mine && !row.is_vacant() {
+                    let Some(check) = self.member.takeover(now, row) else { continue };
+                    checks.push(check);
+                }
+            }
+            self.take(now, pool, found.map_or(0, |(_, version)| version), checks, plans);
+        }
+        Ok(())
+    }
+
+    fn take(&self, now: Millis, pool: &PoolName, version: Version, checks: Vec<Check>, plans: &mut Plans) {
+        let claim = Claim {
+            pool: pool.clone(),
+            instance: self.session.instance().clone(),
+            boot: self.session.boot().to_owned(),
+            version,
+            checks,
+            table: Arc::clone(&self.table),
+            objects: Arc::clone(&self.objects),
+            ops: Arc::clone(&self.ops),
+        };
+        let policy: Box<dyn Policy> = Box::new(Scheduler::new(pool.clone(), self.weights));
+        match Planner::claim(claim, policy, now) {
+            Ok(planner) => {
+                log::info!("pool {pool}: planned here with epoch {}", planner.epoch());
+                self.state().holders.insert(pool.clone(), self.session.instance().clone());
+                plans.insert(pool.clone(), Plan { planner, surplus: None });
+            }
+            Err(PlannerError::Fenced) => log::debug!("pool {pool}: another instance was faster"),
+            Err(error) => log::warn!("pool {pool}: cannot be taken over: {error}"),
+        }
+    }
+
+    /// Gives up pools for which another instance is the better owner, all of them when this one drains.
+    fn hand_over(&self, now: Millis, plans: &mut Plans) {
+        let draining = self.session.is_draining();
+        plans.retain(|pool, plan| {
+            let mine = !draining && self.member.owner(now, pool).as_ref() == Some(self.session.instance());
+            if mine {
+                plan.surplus = None;
+                return true;
+            }
+            let since = *plan.surplus.get_or_insert(now);
+            if !draining && now.since(since) < HANDOVER_AFTER {
+                return true;
+            }
+            match plan.planner.release() {
+                Ok(()) | Err(PlannerError::Fenced) => {
+                    log::info!("pool {pool}: handed over");
+                    false
+                }
+                Err(error) => {
+                    log::warn!("pool {pool}: cannot be handed over yet: {error}");
+                    true
+                }
+            }
+        });
+    }
+
+    /// Takes a worker's answer to a planner's request.
+    pub fn answered(&self, now: Millis, asked: &PoolRequest, result: Result<Answer, WorkerError>) {
+        if let Some(plan) = self.plans().get_mut(&asked.pool)
+            && plan.planner.epoch() == asked.epoch
+        {
+            plan.planner.answered(now, &asked.request, result);
+        }
+    }
+
+    /// Tells the planner of a pool, if it is here, of a job that is new or cancelled.
+    pub fn wake(&self, pool: PoolName, job: JobId) {
+        let mut state = self.state();
+        if state.waiting.contains_key(&pool) {
+            state.wakes.push((pool, job));
+        }
+    }
+
+    /// Number of pools held.
+    pub fn count(&self) -> usize {
+        self.state().waiting.len()
+    }
+
+    /// Holder of each pool, as last seen.
+    pub fn holders(&self) -> BTreeMap<PoolName, InstanceName> {
+        self.state().holders.clone()
+    }
+
+    /// Jobs that wait, by pool held here.
+    pub fn waiting(&self) -> BTreeMap<PoolName, usize> {
+        self.state().waiting.clone()
+    }
+
+    /// Workers in quarantine in the pools held here, with the reason.
+    pub fn quarantined(&self) -> BTreeMap<WorkerName, String> {
+        self.state().quarantined.clone()
+    }
+}
--- a/src/planner/claim.rs
+++ b/src/planner/claim.rs
@@ -42,6 +42,7 @@
             None if self.version != 0 => return Err(PlannerError::Fenced),
             None => 1,
         };
+        let instance = self.instance.clone();
         let row = PoolRow {
             holder: self.instance,
             boot: self.boot,
@@ -75,6 +76,7 @@
             table: self.table,
             objects: self.objects,
             ops: self.ops,
+            instance,
             pool: self.pool,
             epoch,
             fence,
--- a/src/planner/controller.rs
+++ b/src/planner/controller.rs
@@ -153,6 +153,13 @@
         Ok(progress)
     }
 
+    /// Gives the pool up. Nothing is done for it here after that, whatever becomes of the write.
+    pub fn release(&mut self) -> Result<(), PlannerError> {
+        self.ledger.release()?;
+        self.fenced = true;
+        Ok(())
+    }
+
     fn back_off(&mut self, now: Millis) {
         self.quiet_until = now + self.pause;
         self.pause = Millis(self.pause.0 * 2).min(PAUSE_MAX);
--- a/src/planner/ledger.rs
+++ b/src/planner/ledger.rs
@@ -9,9 +9,9 @@
 use super::change::{Change, Seats};
 use super::error::PlannerError;
 use crate::job::{JobRow, Phase};
-use crate::name::{JobId, PoolName, WorkerName};
+use crate::name::{InstanceName, JobId, PoolName, WorkerName};
 use crate::platform::{Check, Key, Objects, OpId, Put, Row, Step, Table, TableError, Txn, Version};
-use crate::row::{Held, OpIds, WorkerRow, key};
+use crate::row::{Held, OpIds, PoolRow, WorkerRow, key};
 
 /// Jobs in one transaction; keeps it well below common limits on rows and bytes.
 const JOBS_PER_TXN: usize = 32;
@@ -35,6 +35,7 @@
     pub table: Arc<dyn Table>,
     pub objects: Arc<dyn Objects>,
     pub ops: Arc<OpIds>,
+    pub instance: InstanceName,
     pub pool: PoolName,
     pub epoch: u64,
     /// Version of the pool row; every transaction checks it.
@@ -251,6 +252,33 @@
             .or_insert_with(|| self.workers.get(worker).map(|(row, _)| row.clone()).unwrap_or_default())
     }
 
+    /// Gives the pool up, so that anybody may take it.
+    pub fn release(&self) -> Result<(), PlannerError> {
+        let row_key = key::pool(&self.pool);
+        let row = PoolRow {
+            holder: self.instance.clone(),
+            boot: String::new(),
+            epoch: self.epoch,
+        };
+        let txn = Txn {
+            step: Step::Takeover,
+            op: self.ops.next(),
+            checks: vec![Check {
+                key: row_key.clone(),
+                version: self.fence,
+            }],
+            puts: vec![Put {
+                key: row_key,
+                value: content(&row),
+            }],
+        };
+        match self.table.commit(&txn) {
+            Ok(_) => Ok(()),
+            Err(TableError::Conflict { .. }) => Err(PlannerError::Fenced),
+            Err(error) => Err(error.into()),
+        }
+    }
+
     /// Writes why a worker is quarantined, or that it no longer is.
     pub fn quarantine(&mut self, worker: &WorkerName, reason: Option<String>) -> Result<(), PlannerError> {
         let (mut row, version) = self.workers.get(worker).cloned().unwrap_or_default();
