Add the session, member and ticket controllers

Cause: nothing held a lease, knew the other instances or changed the configuration. Change: session renews its row with a check of the head and uses a new catalog from the moment it is loaded; member counts a row version as seen only from the step after the read; ticket checks a body, writes head, log and objects in one transaction and accepts once every session row has the number or has lapsed; any instance finishes abandoned tickets. Rows: HeadRow gains `settled`, so that nobody scans the whole log; row::commit reads a lost answer back; row::digest. Ruled out: an immediate time stamp of a session row, since a slow read would make a fresh row look old; retrying a lost commit under the same identifier, since a second one with the same checks is as safe and needs no trust in the table.

--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -10,5 +10,5 @@
 
 pub use outcome::{NotRunReason, Outcome};
 pub use row::{JobRow, Phase, Seat};
-pub use shape::{Adjacency, Shape, ShapeError};
+pub use shape::{ACCELERATORS_MAX, Adjacency, CORES_MAX, MEMBERS_MAX, MEMORY_MB_MAX, Shape, ShapeError};
 pub use spec::{Class, JobSpec};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,9 +6,12 @@
 
 pub mod api;
 pub mod job;
+pub mod member;
 pub mod name;
 pub mod plan;
 pub mod platform;
 pub mod row;
+pub mod session;
 pub mod team;
+pub mod ticket;
 pub mod time;
--- /dev/null
+++ b/src/member/error.rs
@@ -0,0 +1,16 @@
+//! Failure to learn about instances and workers.
+
+use thiserror::Error;
+
+use crate::platform::{ListingError, TableError};
+
+/// Reason why the knowledge is not fresh.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum MemberError {
+    /// The session rows could not be read.
+    #[error(transparent)]
+    Table(#[from] TableError),
+    /// The list could not be read.
+    #[error(transparent)]
+    Listing(#[from] ListingError),
+}
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,25 @@
+//! What the platform's list and the session rows say about instances and workers.
+//!
+//! A session has lapsed for an observer when its row kept one version for the lease and the margin, counted by the
+//! observer's own clock. A version counts as seen from the step after the one that read it: a read may be slow, and the
+//! row may have been written after the time that the reading step was given.
+
+mod error;
+mod hash;
+mod state;
+mod worker;
+
+pub use error::MemberError;
+pub use hash::owner_of;
+pub use state::Member;
+pub use worker::KnownWorker;
+
+use crate::time::Millis;
+
+/// Time between two reads of the session rows.
+pub const SESSIONS_EVERY: Millis = Millis(200);
+/// Time between two reads of the list; a leaving worker must be known within 2 s.
+pub const LIST_EVERY: Millis = Millis(500);
+/// Time for which a worker is kept that is missing from the list. The list lags and may be wrong, and the task leases
+/// of a dead worker with their margin end before.
+pub const UNLISTED_GRACE: Millis = Millis::from_secs(60);
--- /dev/null
+++ b/src/member/state.rs
@@ -0,0 +1,219 @@
+//! Knowledge of instances and workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use serde::Deserialize;
+
+use super::{KnownWorker, LIST_EVERY, MemberError, SESSIONS_EVERY, UNLISTED_GRACE, owner_of};
+use crate::name::{InstanceName, PoolName, WorkerName};
+use crate::platform::{Check, Listed, Listing, Presence, Row, Table, Version};
+use crate::row::{PoolRow, SessionRow, key, scan_all};
+use crate::session::{LEASE, MARGIN};
+use crate::time::Millis;
+
+#[derive(Debug, Clone)]
+struct Observed {
+    row: SessionRow,
+    version: Version,
+    /// When the version was known to be there; `None` until the step after the one that read it.
+    seen: Option<Millis>,
+}
+
+impl Observed {
+    fn has_lapsed(&self, now: Millis) -> bool {
+        self.seen.is_some_and(|seen| now.since(seen) >= LEASE + MARGIN)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    sessions: BTreeMap<InstanceName, Observed>,
+    /// Whether the session rows were ever read.
+    scanned: bool,
+    workers: Arc<BTreeMap<WorkerName, KnownWorker>>,
+    /// Instances that the list shows as leaving.
+    leaving: BTreeSet<InstanceName>,
+    sessions_due: Millis,
+    list_due: Millis,
+    busy: bool,
+}
+
+/// What is known of instances and workers. Only one thread steps it; all may ask.
+#[derive(Debug)]
+pub struct Member {
+    table: Arc<dyn Table>,
+    listing: Arc<dyn Listing>,
+    state: Mutex<State>,
+}
+
+impl Member {
+    /// Nothing is known yet.
+    pub fn new(table: Arc<dyn Table>, listing: Arc<dyn Listing>) -> Self {
+        Self {
+            table,
+            listing,
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads what is due. A failure of the one source does not keep it from reading the other.
+    pub fn step(&self, now: Millis) -> Result<(), MemberError> {
+        let (sessions, list) = {
+            let mut state = self.state();
+            if state.busy {
+                return Ok(());
+            }
+            state.busy = true;
+            for observed in state.sessions.values_mut() {
+                observed.seen.get_or_insert(now);
+            }
+            (now >= state.sessions_due, now >= state.list_due)
+        };
+        let mut result = Ok(());
+        if list {
+            match self.listing.list() {
+                Ok(listed) => self.take_list(now, listed),
+                Err(error) => result = Err(error.into()),
+            }
+            self.state().list_due = now + LIST_EVERY;
+        }
+        if sessions {
+            match scan_all(&*self.table, key::SESSIONS, None) {
+                Ok(rows) => self.take_sessions(&rows),
+                Err(error) => result = Err(error.into()),
+            }
+            self.state().sessions_due = now + SESSIONS_EVERY;
+        }
+        self.state().busy = false;
+        result
+    }
+
+    fn take_sessions(&self, rows: &[Row]) {
+        let mut state = self.state();
+        let mut sessions = BTreeMap::new();
+        for row in rows {
+            let name = row.key.strip_prefix(key::SESSIONS).unwrap_or_default();
+            let Ok(name) = InstanceName::new(name) else { continue };
+            let Ok(content) = SessionRow::deserialize(&row.value) else {
+                continue;
+            };
+            let known = state.sessions.get(&name).filter(|known| known.version == row.version);
+            let observed = Observed {
+                row: content,
+                version: row.version,
+                seen: known.and_then(|known| known.seen),
+            };
+            sessions.insert(name, observed);
+        }
+        state.sessions = sessions;
+        state.scanned = true;
+    }
+
+    fn take_list(&self, now: Millis, listed: Listed) {
+        let mut state = self.state();
+        let mut workers = BTreeMap::new();
+        for (name, known) in state.workers.iter() {
+            let missing = known.missing.unwrap_or(now);
+            if now.since(missing) < UNLISTED_GRACE {
+                let kept = KnownWorker {
+                    listed: known.listed.clone(),
+                    missing: Some(missing),
+                };
+                workers.insert(name.clone(), kept);
+            }
+        }
+        for listed in listed.workers {
+            let known = KnownWorker { listed, missing: None };
+            workers.insert(known.listed.name.clone(), known);
+        }
+        state.workers = Arc::new(workers);
+        state.leaving = listed
+            .instances
+            .into_iter()
+            .filter(|instance| instance.presence == Presence::Leaving)
+            .map(|instance| instance.name)
+            .collect();
+    }
+
+    /// Workers that are listed, or were within the grace.
+    pub fn workers(&self) -> Arc<BTreeMap<WorkerName, KnownWorker>> {
+        Arc::clone(&self.state().workers)
+    }
+
+    /// Session rows as last read.
+    pub fn sessions(&self) -> BTreeMap<InstanceName, SessionRow> {
+        let state = self.state();
+        let rows = state.sessions.iter();
+        rows.map(|(name, observed)| (name.clone(), observed.row.clone()))
+            .collect()
+    }
+
+    /// Instances whose session has not lapsed, draining ones among them.
+    pub fn live(&self, now: Millis) -> Vec<InstanceName> {
+        let state = self.state();
+        let live = state.sessions.iter().filter(|(_, observed)| !observed.has_lapsed(now));
+        live.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Live instances that may take pools: neither draining nor listed as leaving.
+    pub fn takers(&self, now: Millis) -> Vec<InstanceName> {
+        let state = self.state();
+        let mut takers = Vec::new();
+        for (name, observed) in &state.sessions {
+            if observed.has_lapsed(now) || observed.row.draining || state.leaving.contains(name) {
+                continue;
+            }
+            takers.push(name.clone());
+        }
+        takers
+    }
+
+    /// The instance that should hold a pool.
+    pub fn owner(&self, now: Millis, pool: &PoolName) -> Option<InstanceName> {
+        owner_of(pool.as_str(), &self.takers(now))
+    }
+
+    /// If the session of an instance has lapsed or is gone, the condition that it has not come back.
+    pub fn lapsed(&self, now: Millis, instance: &InstanceName) -> Option<Check> {
+        let state = self.state();
+        let version = match state.sessions.get(instance) {
+            Some(observed) if observed.has_lapsed(now) => observed.version,
+            None if state.scanned => 0,
+            _ => return None,
+        };
+        Some(Check {
+            key: key::session(instance),
+            version,
+        })
+    }
+
+    /// Whether the session row of an instance has kept exactly this version until it lapsed.
+    pub fn has_lapsed_at(&self, now: Millis, instance: &InstanceName, version: Version) -> bool {
+        let state = self.state();
+        let observed = state.sessions.get(instance);
+        observed.is_some_and(|observed| observed.version == version && observed.has_lapsed(now))
+    }
+
+    /// If the holder of a pool has lost it, the condition for a takeover, to be checked together with the pool row's
+    /// version. The holder has lost it when its session has lapsed, is gone, or belongs to another boot.
+    pub fn takeover(&self, now: Millis, pool: &PoolRow) -> Option<Check> {
+        let state = self.state();
+        let rebooted = state
+            .sessions
+            .get(&pool.holder)
+            .filter(|session| session.row.boot != pool.boot);
+        if let Some(observed) = rebooted {
+            return Some(Check {
+                key: key::session(&pool.holder),
+                version: observed.version,
+            });
+        }
+        drop(state);
+        self.lapsed(now, &pool.holder)
+    }
+}
--- a/src/row/head.rs
+++ b/src/row/head.rs
@@ -9,6 +9,9 @@
 pub struct HeadRow {
     /// Its number.
     pub number: u64,
+    /// Tickets up to this number were accepted when the row was written, so that nobody scans the whole log.
+    #[serde(default)]
+    pub settled: u64,
 }
 
 /// How far a ticket has come.
--- a/src/row/mod.rs
+++ b/src/row/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! A job's row is [`crate::job::JobRow`]. Every other row has its type here, and every key is built here.
 
+mod commit;
+mod digest;
 mod head;
 pub mod key;
 mod op;
@@ -9,6 +11,8 @@
 mod session;
 mod worker;
 
+pub use commit::{commit, scan_all};
+pub use digest::digest;
 pub use head::{HeadRow, LogRow, ObjectRow, TicketState};
 pub use op::OpIds;
 pub use pool::PoolRow;
--- /dev/null
+++ b/src/session/load.rs
@@ -0,0 +1,89 @@
+//! Reads the configuration.
+
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use super::SessionError;
+use crate::platform::{Check, Key, Row, Table, Version};
+use crate::row::{HeadRow, ObjectRow, key, scan_all};
+use crate::team::{Catalog, Object};
+
+/// Number of reads after which a configuration that keeps changing is given up until the next step.
+const TRIES: usize = 4;
+
+/// A catalog and the version of `ticket/head` that it belongs to.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct View {
+    /// The catalog.
+    pub catalog: Arc<Catalog>,
+    /// Version of `ticket/head`; 0 before the first ticket.
+    pub head: Version,
+}
+
+impl View {
+    /// Condition that the catalog is still the newest.
+    pub fn check(&self) -> Check {
+        Check {
+            key: key::HEAD.to_owned(),
+            version: self.head,
+        }
+    }
+}
+
+fn head(table: &dyn Table) -> Result<(Version, HeadRow), SessionError> {
+    match table.read(&[key::HEAD.to_owned()])?.into_iter().next().flatten() {
+        Some(row) => {
+            let content = HeadRow::deserialize(&row.value).map_err(|_error| SessionError::Format(row.key))?;
+            Ok((row.version, content))
+        }
+        None => Ok((0, HeadRow::default())),
+    }
+}
+
+fn name<N>(row: &Row, sort: &str) -> Result<N, SessionError>
+where
+    N: FromStr,
+{
+    row.key
+        .strip_prefix(key::CONFIG)
+        .and_then(|rest| rest.strip_prefix(sort))
+        .and_then(|rest| rest.strip_prefix('/'))
+        .and_then(|name| name.parse().ok())
+        .ok_or_else(|| SessionError::Format(row.key.clone()))
+}
+
+fn add(catalog: &mut Catalog, row: &Row) -> Result<(), SessionError> {
+    let content = ObjectRow::deserialize(&row.value).map_err(|_error| SessionError::Format(Key::clone(&row.key)))?;
+    match content.object {
+        Some(Object::Team(team)) => drop(catalog.teams.insert(name(row, "team")?, team)),
+        Some(Object::Kind(kind)) => drop(catalog.kinds.insert(name(row, "kind")?, kind)),
+        Some(Object::Pool(pool)) => drop(catalog.pools.insert(name(row, "pool")?, pool)),
+        None => {}
+    }
+    Ok(())
+}
+
+/// Reads the whole configuration. The head is read before and after, since the rows are no snapshot.
+pub fn load(table: &dyn Table) -> Result<View, SessionError> {
+    let mut before = head(table)?;
+    for _ in 0..TRIES {
+        let mut catalog = Catalog {
+            number: before.1.number,
+            ..Catalog::default()
+        };
+        for row in scan_all(table, key::CONFIG, None)? {
+            add(&mut catalog, &row)?;
+        }
+        let after = head(table)?;
+        if after.0 == before.0 {
+            return Ok(View {
+                catalog: Arc::new(catalog),
+                head: before.0,
+            });
+        }
+        before = after;
+    }
+    Err(SessionError::Changing)
+}
--- /dev/null
+++ b/src/session/state.rs
@@ -0,0 +1,314 @@
+//! The session.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use serde::Deserialize;
+use serde_json::json;
+
+use super::{LEASE, MARGIN, RENEW, RETRY, SessionError, View, load};
+use crate::name::{DomainName, InstanceName};
+use crate::platform::{Address, Check, Put, Step, Table, TableError, Txn, Version};
+use crate::row::{OpIds, SessionRow, commit, key};
+use crate::team::Catalog;
+use crate::time::Millis;
+
+/// Tries to renew within one step; each conflict is answered by reading what changed.
+const TRIES: usize = 4;
+
+/// Row of the same name that another boot wrote.
+#[derive(Debug, Clone, Copy)]
+struct Foreign {
+    version: Version,
+    /// When the version was known to be there; set by the step after the one that read it.
+    seen: Option<Millis>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Moment before the last successful renewal was sent.
+    renewed: Option<Millis>,
+    /// Version of the own row, once it is known; 0 for absent.
+    version: Option<Version>,
+    foreign: Option<Foreign>,
+    view: Option<View>,
+    renewals: u64,
+    draining: bool,
+    left: bool,
+    due: Millis,
+    busy: bool,
+}
+
+impl State {
+    fn is_live(&self, now: Millis) -> bool {
+        self.renewed.is_some_and(|renewed| now.since(renewed) < LEASE)
+    }
+}
+
+/// The session of one boot of an instance.
+#[derive(Debug)]
+pub struct Session {
+    instance: InstanceName,
+    boot: String,
+    peer: Address,
+    domain: DomainName,
+    table: Arc<dyn Table>,
+    ops: Arc<OpIds>,
+    state: Mutex<State>,
+}
+
+impl Session {
+    /// A session that has not joined yet.
+    pub fn new(
+        instance: InstanceName,
+        boot: String,
+        peer: Address,
+        domain: DomainName,
+        table: Arc<dyn Table>,
+        ops: Arc<OpIds>,
+    ) -> Self {
+        Self {
+            instance,
+            boot,
+            peer,
+            domain,
+            table,
+            ops,
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The instance.
+    pub fn instance(&self) -> &InstanceName {
+        &self.instance
+    }
+
+    /// This boot.
+    pub fn boot(&self) -> &str {
+        &self.boot
+    }
+
+    /// Whether the lease holds.
+    pub fn is_live(&self, now: Millis) -> bool {
+        self.state().is_live(now)
+    }
+
+    /// When the lease ends or ended; `None` if it was never held.
+    pub fn lease_end(&self) -> Option<Millis> {
+        self.state().renewed.map(|renewed| renewed + LEASE)
+    }
+
+    /// The configuration in force; `None` without a live session.
+    pub fn catalog(&self, now: Millis) -> Option<Arc<Catalog>> {
+        self.view(now).map(|view| view.catalog)
+    }
+
+    /// The configuration in force, with the condition that it still is; `None` without a live session.
+    pub fn view(&self, now: Millis) -> Option<View> {
+        let state = self.state();
+        if !state.is_live(now) {
+            return None;
+        }
+        state.view.clone()
+    }
+
+    /// The newest configuration known, in force or not.
+    pub fn cached(&self) -> Arc<Catalog> {
+        self.state()
+            .view
+            .as_ref()
+            .map(|view| Arc::clone(&view.catalog))
+            .unwrap_or_default()
+    }
+
+    /// Version of the own row, as far as known; 0 for none.
+    pub fn version(&self) -> Version {
+        self.state().version.unwrap_or(0)
+    }
+
+    /// Whether it is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.state().draining
+    }
+
+    /// Announces with the next step, which is due at once, that it takes no pools.
+    pub fn set_draining(&self) {
+        let mut state = self.state();
+        state.draining = true;
+        state.due = Millis::ZERO;
+    }
+
+    /// Renews the session if that is due.
+    pub fn step(&self, now: Millis) -> Result<(), SessionError> {
+        if now < self.state().due {
+            return Ok(());
+        }
+        self.refresh(now)
+    }
+
+    /// Renews the session now. Does nothing if another thread is at it.
+    pub fn refresh(&self, now: Millis) -> Result<(), SessionError> {
+        {
+            let mut state = self.state();
+            if state.left {
+                return Err(SessionError::Left);
+            }
+            if state.busy {
+                return Ok(());
+            }
+            state.busy = true;
+            if let Some(foreign) = &mut state.foreign {
+                foreign.seen.get_or_insert(now);
+            }
+        }
+        let result = self.advance(now);
+        let mut state = self.state();
+        state.busy = false;
+        state.due = now + if result.is_ok() { RENEW } else { RETRY };
+        result
+    }
+
+    fn advance(&self, now: Millis) -> Result<(), SessionError> {
+        let mut last = SessionError::Changing;
+        for _ in 0..TRIES {
+            let view = self.ensure_view()?;
+            let version = self.ensure_version(now)?;
+            if self.state().left {
+                return Err(SessionError::Left);
+            }
+            match self.renew(now, &view, version) {
+                Ok(()) => return Ok(()),
+                Err(TableError::Conflict { key, .. }) if key == key::HEAD => {
+                    let view = load(&*self.table)?;
+                    self.state().view = Some(view);
+                }
+                Err(error @ TableError::Conflict { .. }) => {
+                    self.state().version = None;
+                    last = error.into();
+                }
+                Err(error) => {
+                    if !error.is_unwritten() {
+                        self.state().version = None;
+                    }
+                    return Err(error.into());
+                }
+            }
+        }
+        Err(last)
+    }
+
+    fn ensure_view(&self) -> Result<View, SessionError> {
+        if let Some(view) = &self.state().view {
+            return Ok(view.clone());
+        }
+        let view = load(&*self.table)?;
+        self.state().view = Some(view.clone());
+        Ok(view)
+    }
+
+    /// Reads the own row unless its version is known. A row of another boot is taken over once it has lapsed.
+    fn ensure_version(&self, now: Millis) -> Result<Version, SessionError> {
+        if let Some(version) = self.state().version {
+            return Ok(version);
+        }
+        let row = self
+            .table
+            .read(&[key::session(&self.instance)])?
+            .into_iter()
+            .next()
+            .flatten();
+        let mut state = self.state();
+        let Some(row) = row else {
+            state.version = Some(0);
+            return Ok(0);
+        };
+        let ours = SessionRow::deserialize(&row.value).is_ok_and(|content| content.boot == self.boot);
+        if !ours {
+            state.renewed = None;
+            let watched = state.foreign.filter(|foreign| foreign.version == row.version);
+            let lapsed = watched
+                .and_then(|foreign| foreign.seen)
+                .is_some_and(|seen| now.since(seen) >= LEASE + MARGIN);
+            if !lapsed {
+                state.foreign = watched.or(Some(Foreign {
+                    version: row.version,
+                    seen: None,
+                }));
+                return Err(SessionError::Taken(self.instance.clone()));
+            }
+        }
+        state.foreign = None;
+        state.version = Some(row.version);
+        Ok(row.version)
+    }
+
+    fn renew(&self, now: Millis, view: &View, version: Version) -> Result<(), TableError> {
+        let row = {
+            let mut state = self.state();
+            state.renewals += 1;
+            SessionRow {
+                boot: self.boot.clone(),
+                peer: self.peer,
+                domain: self.domain.clone(),
+                ticket: view.catalog.number,
+                renewals: state.renewals,
+                draining: state.draining,
+            }
+        };
+        let txn = self.txn(Step::Renew, version, Some(json!(row)), Some(view.check()));
+        let version = commit(&*self.table, &txn)?;
+        let mut state = self.state();
+        state.version = Some(version);
+        if !state.left {
+            state.renewed = Some(now);
+        }
+        Ok(())
+    }
+
+    fn txn(&self, step: Step, version: Version, value: Option<serde_json::Value>, head: Option<Check>) -> Txn {
+        let key = key::session(&self.instance);
+        let mut checks = vec![Check {
+            key: key.clone(),
+            version,
+        }];
+        checks.extend(head);
+        Txn {
+            step,
+            op: self.ops.next(),
+            checks,
+            puts: vec![Put { key, value }],
+        }
+    }
+
+    fn set_left(&self) {
+        let mut state = self.state();
+        state.left = true;
+        state.renewed = None;
+    }
+
+    /// Gives the session up and removes its row, so that nobody has to wait until it lapses. May be repeated after an
+    /// error.
+    pub fn leave(&self, now: Millis) -> Result<(), SessionError> {
+        self.set_left();
+        let mut last = SessionError::Changing;
+        for _ in 0..TRIES {
+            let version = match self.ensure_version(now) {
+                Ok(0) | Err(SessionError::Taken(_)) => return Ok(()),
+                Ok(version) => version,
+                Err(error) => return Err(error),
+            };
+            self.state().version = None;
+            match self.table.commit(&self.txn(Step::Leave, version, None, None)) {
+                Ok(_) => {
+                    self.state().version = Some(0);
+                    return Ok(());
+                }
+                Err(error) => last = error.into(),
+            }
+        }
+        Err(last)
+    }
+}
--- /dev/null
+++ b/src/ticket/log.rs
@@ -0,0 +1,55 @@
+//! Reads the head and the log.
+
+use serde::de::DeserializeOwned;
+
+use super::TicketError;
+use crate::platform::{Key, Row, Table, Version};
+use crate::row::{HeadRow, LogRow, key, scan_all};
+
+/// A row's content and its version.
+#[derive(Debug, Clone)]
+pub struct Versioned<T> {
+    pub version: Version,
+    pub content: T,
+}
+
+fn content<T>(row: &Row) -> Result<Versioned<T>, TicketError>
+where
+    T: DeserializeOwned,
+{
+    match T::deserialize(&row.value) {
+        Ok(content) => Ok(Versioned {
+            version: row.version,
+            content,
+        }),
+        Err(_) => Err(TicketError::Format(Key::clone(&row.key))),
+    }
+}
+
+/// Head and log row of a number, read at once.
+pub fn read(table: &dyn Table, number: u64) -> Result<(Versioned<HeadRow>, Option<Versioned<LogRow>>), TicketError> {
+    let keys = [key::HEAD.to_owned(), key::log(number)];
+    let mut rows = table.read(&keys).map_err(TicketError::Table)?.into_iter();
+    let head = match rows.next().flatten() {
+        Some(row) => content(&row)?,
+        None => Versioned {
+            version: 0,
+            content: HeadRow::default(),
+        },
+    };
+    let log = match rows.next().flatten() {
+        Some(row) => Some(content(&row)?),
+        None => None,
+    };
+    Ok((head, log))
+}
+
+/// Log rows above a number.
+pub fn read_above(table: &dyn Table, number: u64) -> Result<Vec<Versioned<LogRow>>, TicketError> {
+    let rows = scan_all(table, key::LOG, Some(key::log(number))).map_err(TicketError::Table)?;
+    let mut logs = Vec::new();
+    for row in rows {
+        logs.push(content(&row)?);
+    }
+    Ok(logs)
+}
--- /dev/null
+++ b/src/ticket/state.rs
@@ -0,0 +1,309 @@
+//! The controller that takes tickets and brings them into force.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use serde::Deserialize;
+use serde_json::json;
+
+use super::log::{Versioned, read, read_above};
+use super::{Fit, NUMBER_MAX, Refusal, Ticket, TicketError};
+use crate::api::TicketView;
+use crate::member::Member;
+use crate::name::InstanceName;
+use crate::platform::{Check, Put, Row, Step, Table, TableError, Txn, Version};
+use crate::row::{HeadRow, LogRow, OpIds, SessionRow, TicketState, commit, digest, key, scan_all};
+use crate::session::{Session, View};
+use crate::team::Catalog;
+use crate::time::Millis;
+
+/// Tries to write a ticket; each conflict is answered by reading what changed.
+const TRIES: usize = 4;
+/// Time for which the instance that took a ticket is left to finish it; it needs lease and margin at most.
+const FINISH_AFTER: Millis = Millis::from_secs(5);
+/// Time between two looks at tickets that are pending.
+const LOOK_EVERY: Millis = Millis(500);
+
+#[derive(Debug, Default)]
+struct State {
+    /// Version of the head below which everything is known to be accepted.
+    settled: Option<Version>,
+    /// Pending tickets and when each was first seen.
+    pending: BTreeMap<u64, Millis>,
+    due: Millis,
+}
+
+/// Takes tickets, finishes abandoned ones.
+#[derive(Debug)]
+pub struct Tickets {
+    session: Arc<Session>,
+    member: Arc<Member>,
+    table: Arc<dyn Table>,
+    ops: Arc<OpIds>,
+    fit: Arc<dyn Fit>,
+    state: Mutex<State>,
+}
+
+fn view(log: &LogRow, repeated: bool) -> TicketView {
+    TicketView {
+        number: log.number,
+        state: log.state,
+        repeated,
+    }
+}
+
+impl Tickets {
+    /// A controller; `fit` decides whether guarantees fit the fleet.
+    pub fn new(
+        session: Arc<Session>,
+        member: Arc<Member>,
+        table: Arc<dyn Table>,
+        ops: Arc<OpIds>,
+        fit: Arc<dyn Fit>,
+    ) -> Self {
+        Self {
+            session,
+            member,
+            table,
+            ops,
+            fit,
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a ticket: when this returns a view, the ticket is written and will not be reverted, but it may be pending.
+    /// Then [`Tickets::confirm`] is to be called until it is accepted.
+    pub fn put(&self, now: Millis, number: u64, body: &[u8]) -> Result<TicketView, TicketError> {
+        if number == 0 || number > NUMBER_MAX {
+            return Err(Refusal::Number(number).into());
+        }
+        let mut doubt = false;
+        for _ in 0..TRIES {
+            match self.try_put(now, number, body, doubt) {
+                Ok(Some(view)) => return Ok(view),
+                Ok(None) => {}
+                Err(TicketError::Unknown(_)) => doubt = true,
+                // Both prove that an earlier try was not applied and never will be: its checks cannot hold any more.
+                Err(error @ (TicketError::Conflict(_) | TicketError::Superseded { .. })) => return Err(error),
+                Err(_) if doubt => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(if doubt {
+            TicketError::Unknown(number)
+        } else {
+            TicketError::NoSession
+        })
+    }
+
+    /// One try; `None` if something changed meanwhile.
+    fn try_put(&self, now: Millis, number: u64, body: &[u8], doubt: bool) -> Result<Option<TicketView>, TicketError> {
+        let digest = digest(body);
+        let (head, log) = read(&*self.table, number)?;
+        if let Some(log) = log {
+            if log.content.digest != digest {
+                return Err(TicketError::Conflict(number));
+            }
+            return Ok(Some(view(&log.content, !doubt)));
+        }
+        if number <= head.content.number {
+            let head = head.content.number;
+            return Err(TicketError::Superseded { number, head });
+        }
+        let ticket = Ticket::parse(body)?;
+        let basis = self.session.view(now).ok_or(TicketError::NoSession)?;
+        if basis.head != head.version {
+            // A failure shows in the next try.
+            let _ = self.session.refresh(now);
+            return Ok(None);
+        }
+        self.check(&ticket, &basis.catalog, number)?;
+        let row = LogRow {
+            number,
+            digest,
+            state: TicketState::Pending,
+            body: serde_json::from_slice(body).map_err(|error| Refusal::Unreadable(error.to_string()))?,
+        };
+        let txn = self.pending_txn(&ticket, &basis, &row, &head.content)?;
+        match commit(&*self.table, &txn) {
+            Ok(_) => {
+                // Announces the number at once; the session's own step repeats it if this fails.
+                let _ = self.session.refresh(now);
+                Ok(Some(view(&row, false)))
+            }
+            Err(TableError::Conflict { .. }) => Ok(None),
+            Err(error) if error.is_unwritten() => Err(TicketError::Table(error)),
+            Err(_) => Err(TicketError::Unknown(number)),
+        }
+    }
+
+    fn check(&self, ticket: &Ticket, catalog: &Catalog, number: u64) -> Result<(), TicketError> {
+        let next = ticket.apply(catalog, number)?;
+        for (name, pool) in &ticket.objects.pool {
+            if pool.is_some() {
+                continue;
+            }
+            let page = self
+                .table
+                .scan(&key::queue(name), None, 1)
+                .map_err(TicketError::Table)?;
+            if !page.rows.is_empty() {
+                let sentence = format!(
+                    "Pool `{name}` still has jobs, so it cannot be removed. Cancel them or wait for their end, then \
+                     send the ticket again."
+                );
+                return Err(Refusal::Object(sentence).into());
+            }
+        }
+        if !ticket.objects.team.is_empty() || !ticket.objects.pool.is_empty() {
+            self.fit.check(&next).map_err(Refusal::Shortfall)?;
+        }
+        Ok(())
+    }
+
+    fn pending_txn(&self, ticket: &Ticket, basis: &View, row: &LogRow, head: &HeadRow) -> Result<Txn, TicketError> {
+        let mut settled = head.settled;
+        for log in read_above(&*self.table, head.settled)? {
+            if log.content.state == TicketState::Pending {
+                break;
+            }
+            settled = log.content.number;
+        }
+        let number = row.number;
+        let head = HeadRow { number, settled };
+        let mut puts = vec![
+            Put {
+                key: key::log(number),
+                value: Some(json!(row)),
+            },
+            Put {
+                key: key::HEAD.to_owned(),
+                value: Some(json!(head)),
+            },
+        ];
+        puts.extend(ticket.puts(number));
+        let absent = Check {
+            key: key::log(number),
+            version: 0,
+        };
+        Ok(Txn {
+            step: Step::Pending,
+            op: self.ops.next(),
+            checks: vec![basis.check(), absent],
+            puts,
+        })
+    }
+
+    /// Looks whether a written ticket is in force everywhere, and if so writes that. To be repeated while the answer is
+    /// pending, and after an error.
+    pub fn confirm(&self, now: Millis, number: u64) -> Result<TicketView, TicketError> {
+        let unconfirmed = |_error| TicketError::Unconfirmed(number);
+        let (_, log) = read(&*self.table, number).map_err(unconfirmed)?;
+        let log = log.ok_or(TicketError::Absent(number))?;
+        if log.content.state == TicketState::Accepted {
+            return Ok(view(&log.content, false));
+        }
+        let sessions =
+            scan_all(&*self.table, key::SESSIONS, None).map_err(|_error| TicketError::Unconfirmed(number))?;
+        for row in &sessions {
+            if !self.uses(now, row, number) {
+                return Ok(view(&log.content, false));
+            }
+        }
+        self.accept(&log)
+    }
+
+    /// Whether the session of this row uses the ticket, or no configuration at all.
+    fn uses(&self, now: Millis, row: &Row, number: u64) -> bool {
+        if SessionRow::deserialize(&row.value).is_ok_and(|session| session.ticket >= number) {
+            return true;
+        }
+        let name = row.key.strip_prefix(key::SESSIONS).unwrap_or_default();
+        InstanceName::new(name).is_ok_and(|name| self.member.has_lapsed_at(now, &name, row.version))
+    }
+
+    fn accept(&self, log: &Versioned<LogRow>) -> Result<TicketView, TicketError> {
+        let number = log.content.number;
+        let accepted = LogRow {
+            state: TicketState::Accepted,
+            ..log.content.clone()
+        };
+        let txn = Txn {
+            step: Step::Accepted,
+            op: self.ops.next(),
+            checks: vec![Check {
+                key: key::log(number),
+                version: log.version,
+            }],
+            puts: vec![Put {
+                key: key::log(number),
+                value: Some(json!(accepted)),
+            }],
+        };
+        match commit(&*self.table, &txn) {
+            Ok(_) => Ok(view(&accepted, false)),
+            // Only another finisher changes the row; the next call reads what it wrote.
+            Err(TableError::Conflict { .. }) => Ok(view(&log.content, false)),
+            Err(_) => Err(TicketError::Unconfirmed(number)),
+        }
+    }
+
+    /// Finishes tickets whose taker does not.
+    pub fn step(&self, now: Millis) -> Result<(), TicketError> {
+        let Some(basis) = self.session.view(now) else {
+            return Ok(());
+        };
+        if !self.is_due(now, basis.head) {
+            return Ok(());
+        }
+        let (head, _) = read(&*self.table, basis.catalog.number)?;
+        let logs = read_above(&*self.table, head.content.settled)?;
+        for number in self.note_pending(now, head.version, &logs) {
+            self.confirm(now, number)?;
+        }
+        Ok(())
+    }
+
+    fn is_due(&self, now: Millis, head: Version) -> bool {
+        let mut state = self.state();
+        if now < state.due || state.settled == Some(head) {
+            return false;
+        }
+        state.due = now + LOOK_EVERY;
+        true
+    }
+
+    /// Remembers what is pending; the tickets that their takers should have finished by now.
+    fn note_pending(&self, now: Millis, head: Version, logs: &[Versioned<LogRow>]) -> Vec<u64> {
+        let mut state = self.state();
+        let mut pending = BTreeMap::new();
+        let mut overdue = Vec::new();
+        for log in logs {
+            if log.content.state == TicketState::Accepted {
+                continue;
+            }
+            let number = log.content.number;
+            let seen = state.pending.get(&number).copied().unwrap_or(now);
+            pending.insert(number, seen);
+            if now.since(seen) >= FINISH_AFTER {
+                overdue.push(number);
+            }
+        }
+        if pending.is_empty() {
+            state.settled = Some(head);
+        }
+        state.pending = pending;
+        overdue
+    }
+
+    /// Looks a ticket up.
+    pub fn get(&self, number: u64) -> Result<TicketView, TicketError> {
+        let (_, log) = read(&*self.table, number)?;
+        let log = log.ok_or(TicketError::Absent(number))?;
+        Ok(view(&log.content, false))
+    }
+}
--- /dev/null
+++ b/tests/control/main.rs
@@ -0,0 +1,6 @@
+//! The controllers against the stand-ins, in one thread and in virtual time.
+
+mod member;
+mod session;
+mod ticket;
+mod world;
--- /dev/null
+++ b/tests/control/member.rs
@@ -0,0 +1,177 @@
+//! What instances know of each other and of the workers.
+
+use std::sync::Arc;
+
+use standin::fake::Side;
+use yuccaridge::member::owner_of;
+use yuccaridge::name::{PoolName, WorkerName};
+use yuccaridge::platform::{Check, Presence, Step, Table, TableError, Txn};
+use yuccaridge::row::{OpIds, PoolRow};
+use yuccaridge::time::Millis;
+
+use crate::world::{World, instance};
+
+fn pool_row(holder: &str, boot: &str) -> PoolRow {
+    PoolRow {
+        holder: instance(holder),
+        boot: boot.to_owned(),
+        epoch: 1,
+    }
+}
+
+/// Guards against a takeover before the lease and the margin are over, and against one that comes too late.
+#[test]
+fn a_holder_lapses_within_lease_and_one_second() {
+    let world = World::new();
+    let (a, b) = (world.node("a", "1"), world.node("b", "1"));
+    world.run(&[&a, &b], 2000);
+    let end = a.session.lease_end().unwrap();
+
+    while b.member.takeover(world.now(), &pool_row("a", "1")).is_none() {
+        world.run(&[&b], 100);
+    }
+
+    let late = world.now().since(end);
+    assert!(world.now() > end && late <= Millis(1000), "{late} after the lease");
+    assert_eq!(b.member.live(world.now()), [instance("b")]);
+}
+
+/// Guards against a takeover from a holder that was only frozen and has renewed since.
+#[test]
+fn the_condition_of_a_takeover_fails_once_the_holder_is_back() {
+    let world = World::new();
+    let (a, b) = (world.node("a", "1"), world.node("b", "1"));
+    world.run(&[&a, &b], 1000);
+    world.run(&[&b], 5000);
+    let check = b.member.takeover(world.now(), &pool_row("a", "1")).unwrap();
+
+    a.step();
+
+    let txn = Txn {
+        step: Step::Takeover,
+        op: OpIds::new(&instance("b"), "t").next(),
+        checks: vec![check],
+        puts: Vec::new(),
+    };
+    assert!(matches!(b.link.commit(&txn), Err(TableError::Conflict { .. })));
+}
+
+/// Guards against waiting for a holder that left or restarted, whose earlier boot can never renew again.
+#[test]
+fn a_holder_that_left_or_restarted_has_lost_its_pools() {
+    let world = World::new();
+    let (a, b) = (world.node("a", "1"), world.node("b", "1"));
+    world.run(&[&a, &b], 1000);
+    let version = world.row("session/a").unwrap().version;
+    let key = "session/a".to_owned();
+
+    let restarted = b.member.takeover(world.now(), &pool_row("a", "0"));
+    a.session.leave(world.now()).unwrap();
+    world.run(&[&b], 300);
+    let left = b.member.takeover(world.now(), &pool_row("a", "1"));
+
+    assert_eq!(
+        restarted,
+        Some(Check {
+            key: key.clone(),
+            version
+        })
+    );
+    assert_eq!(left, Some(Check { key, version: 0 }));
+}
+
+/// Guards against an absent row taken for a lapsed one before the rows were ever read.
+#[test]
+fn nothing_has_lapsed_before_the_first_read() {
+    let world = World::new();
+    let node = world.node("a", "1");
+
+    assert_eq!(node.member.lapsed(world.now(), &instance("b")), None);
+}
+
+/// Guards against a slow read that makes a fresh row look old.
+#[test]
+fn a_row_read_slowly_has_not_lapsed() {
+    let world = World::new();
+    let (a, b) = (Arc::new(world.node("a", "1")), world.node("b", "1"));
+    let (platform, other) = (Arc::clone(&world.platform), Arc::clone(&a));
+    b.meanwhile(Step::Read, Side::Before, move || {
+        platform.clock.advance(Millis(5000));
+        other.step();
+    });
+
+    let _ = b.member.step(world.now());
+    b.cut();
+    let _ = b.member.step(world.now());
+
+    assert_eq!(b.member.lapsed(world.now(), &instance("a")), None);
+}
+
+/// Guards against competition for pools: all observers agree, and a lost instance moves only its own pools.
+#[test]
+fn pools_are_spread_and_move_only_with_their_owner() {
+    let all: Vec<_> = (0..8).map(|n| instance(&format!("i{n}"))).collect();
+    let fewer = &all[1..];
+    let mut counts = std::collections::BTreeMap::new();
+    for n in 0..400 {
+        let pool = PoolName::new(format!("p{n}")).unwrap();
+        let owner = owner_of(pool.as_str(), &all).unwrap();
+        if owner != all[0] {
+            assert_eq!(owner_of(pool.as_str(), fewer), Some(owner.clone()));
+        }
+        *counts.entry(owner).or_insert(0) += 1;
+    }
+
+    assert_eq!(counts.len(), 8);
+    assert!(counts.values().all(|count| (20..=90).contains(count)), "{counts:?}");
+    assert_eq!(owner_of("p1", &[]), None);
+}
+
+/// Guards against pools that are given to an instance that shuts down.
+#[test]
+fn a_draining_instance_takes_no_pools() {
+    let world = World::new();
+    let (a, b) = (world.node("a", "1"), world.node("b", "1"));
+    world.run(&[&a, &b], 1000);
+    a.session.set_draining();
+    world.run(&[&a, &b], 500);
+
+    assert_eq!(b.member.live(world.now()).len(), 2);
+    for n in 0..20 {
+        let pool = PoolName::new(format!("p{n}")).unwrap();
+        assert_eq!(b.member.owner(world.now(), &pool), Some(instance("b")));
+    }
+}
+
+/// Guards against new work for a worker that leaves (bound 2 s) or is missing from the list, and against dropping one
+/// at once that a faulty list omits.
+#[test]
+fn workers_that_leave_or_are_missing_are_marked() {
+    let world = World::new();
+    let node = world.node("a", "1");
+    world.add_worker("w1", 1);
+    world.add_worker("w2", 2);
+    world.run(&[&node], 1000);
+    let (w1, w2) = (WorkerName::new("w1").unwrap(), WorkerName::new("w2").unwrap());
+    let set = |presence| {
+        world
+            .platform
+            .with_worker(&w1, |worker, _| worker.listed_mut().presence = presence)
+    };
+    set(Presence::Leaving);
+    // A worker with another name stands for one that the list omits.
+    let other = WorkerName::new("w3").unwrap();
+    world
+        .platform
+        .with_worker(&w2, |worker, _| worker.listed_mut().name = other);
+
+    world.run(&[&node], 1900);
+    let soon = node.member.workers();
+    world.run(&[&node], 60_000);
+    let late = node.member.workers();
+
+    assert!(!soon[&w1].is_open());
+    assert!(!soon[&w2].is_open());
+    assert!(!late.contains_key(&w2));
+    assert!(late.contains_key(&w1));
+}
--- /dev/null
+++ b/tests/control/world.rs
@@ -0,0 +1,206 @@
+//! Fixtures: a platform and instances that are stepped by hand.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use serde_json::{Value, json};
+use standin::fake::{Fault, Link, Platform, Point, Side};
+use standin::worker::Worker;
+use yuccaridge::member::Member;
+use yuccaridge::name::{DomainName, InstanceName, RackName, WorkerName};
+use yuccaridge::platform::{ListedWorker, Presence, Row, Step, Table};
+use yuccaridge::row::OpIds;
+use yuccaridge::session::Session;
+use yuccaridge::ticket::{AnyFit, Tickets};
+use yuccaridge::time::{Clock, Millis};
+
+/// A platform and its clock.
+pub struct World {
+    pub platform: Arc<Platform>,
+}
+
+/// The controllers of one instance.
+pub struct Node {
+    pub link: Arc<Link>,
+    pub platform: Arc<Platform>,
+    pub session: Arc<Session>,
+    pub member: Arc<Member>,
+    pub tickets: Tickets,
+}
+
+pub fn instance(name: &str) -> InstanceName {
+    InstanceName::new(name).unwrap()
+}
+
+impl World {
+    pub fn new() -> Self {
+        Self {
+            platform: Platform::new(),
+        }
+    }
+
+    pub fn now(&self) -> Millis {
+        self.platform.clock.now()
+    }
+
+    /// An instance that was not stepped yet.
+    pub fn node(&self, name: &str, boot: &str) -> Node {
+        let link = Link::new(&self.platform);
+        let name = instance(name);
+        let ops = Arc::new(OpIds::new(&name, boot));
+        let peer = "127.0.0.1:7000".parse().unwrap();
+        let domain = DomainName::new("d1").unwrap();
+        let table: Arc<dyn Table> = Arc::clone(&link) as _;
+        let session = Arc::new(Session::new(
+            name,
+            boot.to_owned(),
+            peer,
+            domain,
+            Arc::clone(&table),
+            Arc::clone(&ops),
+        ));
+        let member = Arc::new(Member::new(Arc::clone(&table), Arc::clone(&link) as _));
+        let tickets = Tickets::new(
+            Arc::clone(&session),
+            Arc::clone(&member),
+            Arc::clone(&table),
+            Arc::clone(&ops),
+            Arc::new(AnyFit),
+        );
+        Node {
+            link,
+            platform: Arc::clone(&self.platform),
+            session,
+            member,
+            tickets,
+        }
+    }
+
+    /// Lets time pass in steps of 100 ms, stepping these instances each time.
+    pub fn run(&self, nodes: &[&Node], span: u64) {
+        for _ in 0..span / 100 {
+            for node in nodes {
+                node.step();
+            }
+            self.platform.clock.advance(Millis(100));
+        }
+    }
+
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.platform.table.read(&[key.to_owned()]).unwrap().remove(0)
+    }
+
+    /// Adds a worker of domain `d1` to the platform.
+    pub fn add_worker(&self, name: &str, port: u16) {
+        self.platform.add_worker(Worker::new(
+            ListedWorker {
+                name: WorkerName::new(name).unwrap(),
+                address: ([127, 0, 0, 1], port).into(),
+                rack: RackName::new("r1").unwrap(),
+                domain: DomainName::new("d1").unwrap(),
+                cores: 16,
+                memory_mb: 65536,
+                accelerators: 8,
+                slots: 8,
+                connections: 60,
+                presence: Presence::Live,
+            },
+            1.0,
+        ));
+    }
+}
+
+impl Node {
+    pub fn now(&self) -> Millis {
+        self.platform.clock.now()
+    }
+
+    /// Steps all controllers; failures are part of the tests and show in the state.
+    pub fn step(&self) {
+        let now = self.now();
+        let _ = self.session.step(now);
+        let _ = self.member.step(now);
+        let _ = self.tickets.step(now);
+    }
+
+    pub fn is_live(&self) -> bool {
+        self.session.is_live(self.now())
+    }
+
+    /// Cuts every request until [`Node::mend`].
+    pub fn cut(&self) {
+        self.link.set_hook(|_| Fault::Cut);
+    }
+
+    pub fn mend(&self) {
+        self.link.set_hook(|_| Fault::None);
+    }
+
+    /// Cuts requests of one step on one side, the first `times` of them.
+    pub fn cut_at(&self, step: Step, side: Side, times: u64) {
+        let left = AtomicU64::new(times);
+        self.link.set_hook(move |point| cut_some(point, step, side, &left));
+    }
+
+    /// Cuts the first request of one step on one side, and every request after it, until [`Node::mend`].
+    pub fn cut_from(&self, step: Step, side: Side) {
+        let cut = AtomicBool::new(false);
+        self.link.set_hook(move |point| {
+            let here = point.step == step && point.side == side;
+            if cut.fetch_or(here, Ordering::Relaxed) || here {
+                return Fault::Cut;
+            }
+            Fault::None
+        });
+    }
+
+    /// Lets some requests pass and cuts all others, as if the instance died.
+    pub fn die_after(&self, requests: u64) {
+        let left = AtomicU64::new(requests);
+        self.link.set_hook(move |point| {
+            let cost = u64::from(point.side == Side::Before);
+            match left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(cost)) {
+                Ok(_) => Fault::None,
+                Err(_) => Fault::Cut,
+            }
+        });
+    }
+
+    /// Does something once, in the middle of the first request of a step on one side.
+    pub fn meanwhile<F>(&self, step: Step, side: Side, act: F)
+    where
+        F: Fn() + Send + Sync + 'static,
+    {
+        let left = AtomicU64::new(1);
+        self.link.set_hook(move |point| {
+            if cut_some(point, step, side, &left) == Fault::Cut {
+                act();
+            }
+            Fault::None
+        });
+    }
+}
+
+fn cut_some(point: &Point, step: Step, side: Side, left: &AtomicU64) -> Fault {
+    if point.step != step || point.side != side {
+        return Fault::None;
+    }
+    match left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1)) {
+        Ok(_) => Fault::Cut,
+        Err(_) => Fault::None,
+    }
+}
+
+/// A ticket with a team, two kinds and a pool.
+pub fn first_ticket() -> Value {
+    json!({"objects": {
+        "team": {"photos": {"quota": 64, "kinds": ["check", "query"],
+            "guarantees": [{"pool": "west", "level": "worker", "accelerators": 8, "count": 1}]}},
+        "kind": {"check": {"class": "batch"}, "query": {"class": "call"}},
+        "pool": {"west": {"domains": ["d1"]}}
+    }})
+}
+
+pub fn bytes(body: &Value) -> Vec<u8> {
+    serde_json::to_vec(body).unwrap()
+}
