--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,14 @@
 
 pub mod api;
 pub mod job;
+pub mod member;
 pub mod name;
 pub mod plan;
 pub mod planner;
 pub mod platform;
 pub mod route;
 pub mod row;
+pub mod session;
 pub mod team;
+pub mod ticket;
 pub mod time;
