Read settings from JSON with comments

Cause: a process must learn its addresses, weights and limits from settings, and operators need errors that point at the place. Ruled out: relying on serde's unknown field error alone, since the parser reports it at the enclosing brace.

--- /dev/null
+++ b/src/config/limits.rs
@@ -0,0 +1,28 @@
+//! Bounds on what callers may use.
+
+use serde::{Deserialize, Serialize};
+
+/// Bounds of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Requests that are read or answered at once, each on a thread; 1 to 10,000.
+    pub connections: u32,
+    /// Size of a body in bytes, 1 KiB to 16 MiB.
+    pub body_bytes: u64,
+    /// Time for the header and body of a request to arrive, in milliseconds; 100 to 60,000.
+    pub header_ms: u64,
+    /// Requests that may wait for an answer at once, 1 to 10,000.
+    pub waiting: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 512,
+            body_bytes: 1024 * 1024,
+            header_ms: 10_000,
+            waiting: 256,
+        }
+    }
+}
--- /dev/null
+++ b/src/config/resolved.rs
@@ -0,0 +1,197 @@
+//! The configuration that a process runs with.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use super::{
+    Bases, Budget, ConfigError, KEYS, Key, Limits, LogSettings, Override, Settings, Source, Timeouts, TraceOutput,
+};
+use crate::name::{DomainName, InstanceName, NameError};
+use crate::plan::Weights;
+use crate::platform::Address;
+use crate::time::Millis;
+
+/// Settings with every value present and checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Config {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Address for callers and operators.
+    pub listen: Address,
+    /// Address under which others reach `listen`.
+    pub advertise: Address,
+    /// Address for peers.
+    pub peer: Address,
+    /// The platform's services.
+    pub platform: Bases,
+    /// Timeouts.
+    pub timeouts: Timeouts,
+    /// What counts, relative to each other.
+    pub weights: Weights,
+    /// Requests to the table.
+    pub budget: Budget,
+    /// Bounds of the server.
+    pub limits: Limits,
+    /// Log.
+    pub log: LogSettings,
+    /// Where spans go.
+    pub trace: TraceOutput,
+    /// Time for a drain.
+    pub drain: Millis,
+}
+
+impl Config {
+    /// Resolves a file with overrides; later overrides win over earlier ones.
+    pub fn resolve(source: &Source, overrides: &[Override]) -> Result<Self, ConfigError> {
+        let mut tree = serde_json::to_value(source.settings()).unwrap_or_default();
+        let mut settings = source.settings().clone();
+        for over in overrides {
+            if Key::find(&over.path).is_none() {
+                return Err(refused(over, "no such key; `yuccaridge check --keys` lists them"));
+            }
+            set(&mut tree, &over.path, &over.value);
+            settings = match Settings::deserialize_from(&tree) {
+                Ok(settings) => settings,
+                Err(e) => return Err(refused(over, &e.to_string())),
+            };
+        }
+        let check = Check {
+            source,
+            overrides,
+            tree: &tree,
+        };
+        check.ranges()?;
+        check.build(settings)
+    }
+}
+
+impl Settings {
+    fn deserialize_from(tree: &Value) -> Result<Self, serde_json::Error> {
+        serde_json::from_value(tree.clone())
+    }
+}
+
+fn refused(over: &Override, message: &str) -> ConfigError {
+    ConfigError::Override {
+        path: over.path.clone(),
+        origin: over.origin.clone(),
+        message: message.to_owned(),
+    }
+}
+
+fn get<'a>(tree: &'a Value, path: &str) -> Option<&'a Value> {
+    let mut node = tree;
+    for part in path.split('.') {
+        node = node.get(part)?;
+    }
+    Some(node)
+}
+
+fn set(tree: &mut Value, path: &str, text: &str) {
+    let mut node = tree;
+    for part in path.split('.') {
+        node = &mut node[part];
+    }
+    let is_number = Key::find(path).is_some_and(|key| key.range.is_some());
+    *node = match serde_json::from_str(text) {
+        Ok(Value::Number(number)) if is_number => Value::Number(number),
+        _ => Value::String(text.to_owned()),
+    };
+}
+
+/// The checks, with what is needed to say where a wrong value comes from.
+#[derive(Debug)]
+struct Check<'a> {
+    source: &'a Source,
+    overrides: &'a [Override],
+    tree: &'a Value,
+}
+
+impl Check<'_> {
+    fn error(&self, path: &'static str, message: &str, help: &str) -> ConfigError {
+        if let Some(over) = self.overrides.iter().rev().find(|over| over.path == path) {
+            return refused(over, message);
+        }
+        self.source
+            .error_at(path, message, help)
+            .unwrap_or_else(|| missing(path))
+    }
+
+    fn ranges(&self) -> Result<(), ConfigError> {
+        for key in KEYS {
+            let Some((min, max)) = key.range else { continue };
+            let Some(value) = get(self.tree, key.path).and_then(Value::as_f64) else {
+                continue;
+            };
+            if value < min || value > max {
+                let message = format!("`{}` is {value}; allowed are {min} to {max} {}", key.path, key.unit);
+                return Err(self.error(key.path, &message, key.about));
+            }
+        }
+        Ok(())
+    }
+
+    fn name<N>(&self, path: &'static str, text: Option<String>) -> Result<N, ConfigError>
+    where
+        N: TryFrom<String, Error = NameError>,
+    {
+        let text = text.ok_or_else(|| missing(path))?;
+        N::try_from(text).map_err(|e| self.error(path, &e.to_string(), "Choose another name."))
+    }
+
+    fn base(&self, path: &'static str, text: String) -> Result<String, ConfigError> {
+        if text.is_empty() {
+            return Err(missing(path));
+        }
+        let address = text.strip_prefix("http://").map(str::parse::<SocketAddr>);
+        match address {
+            Some(Ok(_)) => Ok(text),
+            _ => Err(self.error(
+                path,
+                "this is no address of the form http://IP:PORT",
+                "Names are not looked up; write the IP number.",
+            )),
+        }
+    }
+
+    fn build(&self, settings: Settings) -> Result<Config, ConfigError> {
+        let listen = settings.listen.ok_or_else(|| missing("listen"))?;
+        let advertise = settings.advertise.unwrap_or(listen);
+        if advertise.ip().is_unspecified() {
+            let message = "others cannot connect to this address";
+            let path = if settings.advertise.is_some() {
+                "advertise"
+            } else {
+                "listen"
+            };
+            return Err(self.error(path, message, "Set `advertise` to an address of this machine."));
+        }
+        Ok(Config {
+            instance: self.name("instance", settings.instance)?,
+            domain: self.name("domain", settings.domain)?,
+            listen,
+            advertise,
+            peer: settings.peer.ok_or_else(|| missing("peer"))?,
+            platform: Bases {
+                table: self.base("platform.table", settings.platform.table)?,
+                objects: self.base("platform.objects", settings.platform.objects)?,
+                list: self.base("platform.list", settings.platform.list)?,
+            },
+            timeouts: settings.timeouts,
+            weights: settings.weights,
+            budget: settings.budget,
+            limits: settings.limits,
+            log: settings.log,
+            trace: settings.trace,
+            drain: Millis::from_secs(settings.drain_s),
+        })
+    }
+}
+
+fn missing(path: &'static str) -> ConfigError {
+    let variable = Key::find(path).map(Key::variable).unwrap_or_default();
+    ConfigError::Missing { path, variable }
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,59 @@
+//! Settings as written.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Bases, Budget, Limits, LogSettings, Timeouts, TraceOutput};
+use crate::plan::Weights;
+use crate::platform::Address;
+
+/// A settings file. What it leaves out has a default or must come from the environment or the command line.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: Option<String>,
+    /// Failure domain of the instance.
+    pub domain: Option<String>,
+    /// Address for callers and operators.
+    pub listen: Option<Address>,
+    /// Address under which callers and peers reach `listen`.
+    pub advertise: Option<Address>,
+    /// Address for peers.
+    pub peer: Option<Address>,
+    /// The platform's services.
+    pub platform: Bases,
+    /// Timeouts.
+    pub timeouts: Timeouts,
+    /// What counts, relative to each other.
+    pub weights: Weights,
+    /// Requests to the table.
+    pub budget: Budget,
+    /// Bounds of the server.
+    pub limits: Limits,
+    /// Log.
+    pub log: LogSettings,
+    /// Where spans go.
+    pub trace: TraceOutput,
+    /// Time for a drain in seconds, 1 to 3,600.
+    pub drain_s: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            instance: None,
+            domain: None,
+            listen: None,
+            advertise: None,
+            peer: None,
+            platform: Bases::default(),
+            timeouts: Timeouts::default(),
+            weights: Weights::default(),
+            budget: Budget::default(),
+            limits: Limits::default(),
+            log: LogSettings::default(),
+            trace: TraceOutput::default(),
+            drain_s: 60,
+        }
+    }
+}
--- /dev/null
+++ b/src/config/source.rs
@@ -0,0 +1,159 @@
+//! A settings file with the places of its keys.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::{Range, Ranged};
+use jsonc_parser::errors::ParseError;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast, parse_to_serde_value};
+
+use super::{ConfigError, KEYS, Key, Place, Settings};
+
+/// Parsed settings and where each key stands in the text.
+#[derive(Debug, Clone)]
+pub struct Source {
+    name: String,
+    text: String,
+    places: BTreeMap<String, Range>,
+    settings: Settings,
+}
+
+/// JSON with comments and trailing commas, and nothing else that the parser would take.
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+impl Source {
+    /// Reads and parses a file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let name = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => Self::parse(&name, &text),
+            Err(source) => Err(ConfigError::Read { path: name, source }),
+        }
+    }
+
+    /// Parses a text; `name` appears in errors.
+    pub fn parse(name: &str, text: &str) -> Result<Self, ConfigError> {
+        let mut source = Self {
+            name: name.to_owned(),
+            text: text.to_owned(),
+            places: BTreeMap::new(),
+            settings: Settings::default(),
+        };
+        let parsed = match parse_to_ast(text, &CollectOptions::default(), &options()) {
+            Ok(parsed) => parsed.value,
+            Err(e) => return Err(source.syntax(&e)),
+        };
+        let Some(Value::Object(object)) = parsed else {
+            let range = parsed.map_or(Range::new(0, 0), |value| value.range());
+            return Err(source.error(range, "settings must be an object", "Put the keys between { and }."));
+        };
+        source.collect("", &object)?;
+        match parse_to_serde_value(text, &options()) {
+            Ok(settings) => source.settings = settings,
+            Err(e) => return Err(source.syntax(&e)),
+        }
+        Ok(source)
+    }
+
+    /// Settings as written.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// An error at a key of the text, if the text sets it.
+    pub fn error_at(&self, path: &str, message: &str, help: &str) -> Option<ConfigError> {
+        let range = self.places.get(path)?;
+        Some(self.error(*range, message, help))
+    }
+
+    fn collect(&mut self, prefix: &str, object: &Object<'_>) -> Result<(), ConfigError> {
+        for property in &object.properties {
+            let path = format!("{prefix}{}", property.name.as_str());
+            if self.places.contains_key(&path) {
+                return Err(self.error(name_range(property), &format!("`{path}` is set twice"), "Remove one."));
+            }
+            if Key::find(&path).is_some() {
+                self.places.insert(path, property.value.range());
+                continue;
+            }
+            let Value::Object(inner) = &property.value else {
+                return Err(self.unknown(&path, property));
+            };
+            if !Key::is_section(&path) {
+                return Err(self.unknown(&path, property));
+            }
+            self.places.insert(path.clone(), property.value.range());
+            self.collect(&format!("{path}."), inner)?;
+        }
+        Ok(())
+    }
+
+    fn unknown(&self, path: &str, property: &ObjectProp<'_>) -> ConfigError {
+        let help = match nearest(path) {
+            Some(near) => format!("Did you mean `{near}`?"),
+            None => "`yuccaridge check --keys` lists the keys.".to_owned(),
+        };
+        let message = if Key::is_section(path) {
+            format!("`{path}` must be an object")
+        } else {
+            format!("unknown key `{path}`")
+        };
+        self.error(name_range(property), &message, &help)
+    }
+
+    fn syntax(&self, e: &ParseError) -> ConfigError {
+        self.error(e.range(), &e.kind().to_string(), "Correct the text at this place.")
+    }
+
+    fn error(&self, range: Range, message: &str, help: &str) -> ConfigError {
+        let before = &self.text[..range.start];
+        let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+        ConfigError::Text {
+            message: message.to_owned(),
+            help: help.to_owned(),
+            place: Box::new(Place {
+                source: self.name.clone(),
+                text: self.text.clone(),
+                start: range.start,
+                end: range.end,
+                line: before.matches('\n').count() + 1,
+                column: before[line_start..].chars().count() + 1,
+            }),
+        }
+    }
+}
+
+fn name_range(property: &ObjectProp<'_>) -> Range {
+    property.name.range()
+}
+
+/// The known key that shares the longest start or the last part with `path`.
+fn nearest(path: &str) -> Option<&'static str> {
+    let last = path.rsplit('.').next().unwrap_or(path);
+    let mut best = None;
+    let mut most = 3;
+    for key in KEYS {
+        let name = key.path.rsplit('.').next().unwrap_or(key.path);
+        let shared = name.chars().zip(last.chars()).take_while(|(a, b)| a == b).count();
+        if shared > most || (name == last && best.is_none()) {
+            most = shared;
+            best = Some(key.path);
+        }
+    }
+    best
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
 pub mod api;
+pub mod config;
 pub mod job;
 pub mod name;
 pub mod plan;
