Serve the API over HTTP

Change: api::Server over rouille with Route, Gate, body limits and JSON errors; metric::Metrics (prometheus-client) and trace::Tracer (OpenTelemetry, spans as JSON lines), which the server needs. Ruled out: rouille's thread pool, since half-sent bodies would occupy all of it; rouille's join for a stop, since it waits for half-sent bodies for ever.

--- /dev/null
+++ b/src/api/answer.rs
@@ -0,0 +1,85 @@
+//! Answers before they are written.
+
+use rouille::{Response, ResponseBody};
+use serde::Serialize;
+use serde_json::json;
+
+use super::{ApiError, Code};
+
+/// Content type of the metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Status, type and body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Seconds for `Retry-After`.
+    pub retry_after: Option<u32>,
+    /// Content type.
+    pub mime: &'static str,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// A body as JSON.
+    pub fn json<T>(status: u16, value: &T) -> Self
+    where
+        T: Serialize,
+    {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self {
+                status,
+                retry_after: None,
+                mime: "application/json",
+                body,
+            },
+            Err(e) => Self::error(&ApiError::new(
+                Code::Unknown,
+                format!("The answer could not be written: {e}. Ask again with the same id."),
+            )),
+        }
+    }
+
+    /// An error.
+    pub fn error(error: &ApiError) -> Self {
+        let body = match serde_json::to_vec(error) {
+            Ok(body) => body,
+            Err(_) => json!({ "code": "unknown" }).to_string().into_bytes(),
+        };
+        Self {
+            status: error.code.status(),
+            retry_after: error.code.retry_after_s(),
+            mime: "application/json",
+            body,
+        }
+    }
+
+    /// Text of the metrics.
+    pub fn metrics(text: String) -> Self {
+        Self {
+            status: 200,
+            retry_after: None,
+            mime: METRICS_TYPE,
+            body: text.into_bytes(),
+        }
+    }
+
+    /// The response, with the hop's `traceparent`.
+    pub(super) fn into_response(self, traceparent: String) -> Response {
+        let mut headers = vec![
+            ("Content-Type".into(), self.mime.into()),
+            ("traceparent".into(), traceparent.into()),
+        ];
+        if let Some(seconds) = self.retry_after {
+            headers.push(("Retry-After".into(), seconds.to_string().into()));
+        }
+        Response {
+            status_code: self.status,
+            headers,
+            data: ResponseBody::from_data(self.body),
+            upgrade: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/api/service.rs
@@ -0,0 +1,147 @@
+//! What happens to one request.
+
+use std::mem;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::time::Instant;
+
+use rouille::{ReadWrite, Request, Response, Upgrade};
+use serde_json::json;
+
+use super::gate::Closed;
+use super::{Answer, ApiError, Code, Gate, Handler, Route, body};
+use crate::config::Limits;
+use crate::metric::Metrics;
+use crate::trace::{Hop, Tracer};
+
+/// Everything that a request needs.
+#[derive(Debug)]
+pub(super) struct Service {
+    pub handler: Arc<dyn Handler>,
+    pub limits: Limits,
+    pub gate: Arc<Gate>,
+    pub metrics: Arc<Metrics>,
+    pub tracer: Tracer,
+}
+
+impl Service {
+    /// Answers a request; runs on a thread of its own.
+    pub fn answer(&self, request: &Request) -> Response {
+        let start = Instant::now();
+        let entered = self.gate.enter();
+        if body::declared(request).is_some_and(|size| size > body::DISCARD_BYTES_MAX) {
+            return abandon();
+        }
+        let wait = request.get_param("wait");
+        let route = Route::parse(request.method(), &request.url(), wait.as_deref());
+        let name = route.as_ref().map_or("none", Route::name);
+        let hop = self.tracer.hop(name, request.header("traceparent"));
+        let result = match (entered, route) {
+            (_, Err(e)) => Err(e),
+            (_, Ok(route)) if route.is_local() => Ok(self.local(&route)),
+            (Err(closed), Ok(_)) => Err(refusal(closed)),
+            (Ok(()), Ok(route)) => self.handle(request, &route, &hop),
+        };
+        let answer = match result {
+            Ok(answer) => answer,
+            Err(e) => Answer::error(&e),
+        };
+        hop.set("status", &answer.status);
+        self.metrics.request(name, answer.status);
+        if name == "submit" {
+            self.metrics.call(start.elapsed());
+        }
+        answer.into_response(hop.traceparent())
+    }
+
+    fn local(&self, route: &Route) -> Answer {
+        match route {
+            Route::Metrics => Answer::metrics(self.metrics.text()),
+            Route::Status => Answer::json(200, &self.handler.status()),
+            Route::Ready if self.gate.is_stopping() => Answer::json(503, &json!({ "ready": false })),
+            Route::Ready if !self.handler.is_ready() => Answer::json(503, &json!({ "ready": false })),
+            Route::Ready => Answer::json(200, &json!({ "ready": true })),
+            _ => Answer::json(200, &json!({ "alive": true })),
+        }
+    }
+
+    fn handle(&self, request: &Request, route: &Route, hop: &Hop) -> Result<Answer, ApiError> {
+        let bytes = if route.has_body() {
+            body::read(request, &self.limits)?
+        } else {
+            Vec::new()
+        };
+        self.gate.admit().map_err(refusal)?;
+        let call = || self.call(route, &bytes, hop);
+        // A fault in the handler must cost one request, not the connection: its caller is told that the result is open.
+        match catch_unwind(AssertUnwindSafe(call)) {
+            Ok(result) => result,
+            Err(_) => Err(ApiError::new(
+                Code::Unknown,
+                "A fault inside the scheduler hit this request. Ask again with the same id.",
+            )),
+        }
+    }
+
+    fn call(&self, route: &Route, bytes: &[u8], hop: &Hop) -> Result<Answer, ApiError> {
+        let handler = &self.handler;
+        match route {
+            Route::Submit(id) => {
+                hop.set("job", id);
+                let view = handler.submit(id, bytes, Some(&hop.traceparent()))?;
+                hop.set("attempt", &view.attempt);
+                Ok(Answer::json(200, &view))
+            }
+            Route::Job(id, wait) => {
+                hop.set("job", id);
+                Ok(Answer::json(200, &handler.job(id, *wait)?))
+            }
+            Route::Cancel(id) => {
+                hop.set("job", id);
+                Ok(Answer::json(200, &handler.cancel(id)?))
+            }
+            Route::PutTicket(number) => {
+                hop.set("ticket", number);
+                Ok(Answer::json(200, &handler.put_ticket(*number, bytes)?))
+            }
+            Route::Ticket(number) => {
+                hop.set("ticket", number);
+                Ok(Answer::json(200, &handler.ticket(*number)?))
+            }
+            Route::Config => Ok(Answer::json(200, &handler.catalog()?)),
+            Route::Status | Route::Health | Route::Ready | Route::Metrics => Ok(self.local(route)),
+        }
+    }
+}
+
+fn refusal(closed: Closed) -> ApiError {
+    match closed {
+        Closed::Full => ApiError::new(
+            Code::Busy,
+            "This instance has as many requests as it can hold. Nothing was run. Try again in a second.",
+        ),
+        Closed::Stopping => ApiError::new(
+            Code::Draining,
+            "This instance is shutting down. Nothing was run. Send the request to another instance.",
+        ),
+    }
+}
+
+/// Leaves a connection whose next body cannot be discarded.
+fn abandon() -> Response {
+    Response {
+        status_code: Code::TooLarge.status(),
+        headers: vec![("Upgrade".into(), "none".into())],
+        data: rouille::ResponseBody::empty(),
+        upgrade: Some(Box::new(Abandoned)),
+    }
+}
+
+/// Keeps a socket from being dropped, since dropping it would discard its body.
+struct Abandoned;
+
+impl Upgrade for Abandoned {
+    fn build(&mut self, socket: Box<dyn ReadWrite + Send>) {
+        mem::forget(socket);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod api;
 pub mod config;
 pub mod job;
+pub mod metric;
 pub mod name;
 pub mod plan;
 pub mod platform;
 pub mod row;
 pub mod team;
 pub mod time;
+pub mod trace;
--- /dev/null
+++ b/src/metric/mod.rs
@@ -0,0 +1,10 @@
+//! What an instance counts, in the form that Prometheus reads.
+//!
+//! Labels have few values by design: steps, results, routes and pools, never jobs, teams or workers. At the target size
+//! that keeps the text below 100 KB.
+
+mod label;
+mod metrics;
+
+pub use label::{Direction, Outgoing, PoolLabel, RequestLabel, Result, StepLabel};
+pub use metrics::Metrics;
--- /dev/null
+++ b/src/trace/mod.rs
@@ -0,0 +1,12 @@
+//! Spans, one for each hop of a request.
+//!
+//! A hop takes the caller's W3C `traceparent`, or starts a new trace, and passes its own on to the next hop. Instances
+//! have no disk, so spans are written as JSON lines to standard error or to the log, where the platform collects them.
+
+mod exporter;
+mod hop;
+mod tracer;
+
+pub use exporter::LineExporter;
+pub use hop::Hop;
+pub use tracer::Tracer;
