--- a/src/instance/pools.rs
+++ b/src/instance/pools.rs
@@ -73,7 +73,9 @@
 
 impl fmt::Debug for Pools {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Pools").field("instance", self.session.instance()).finish_non_exhaustive()
+        f.debug_struct("Pools")
+            .field("instance", self.session.instance())
+            .finish_non_exhaustive()
     }
 }
 
@@ -87,7 +89,16 @@
         ops: Arc<OpIds>,
         weights: Weights,
     ) -> Self {
-        Self { session, member, table, objects, ops, weights, plans: Mutex::default(), state: Mutex::default() }
+        Self {
+            session,
+            member,
+            table,
+            objects,
+            ops,
+            weights,
+            plans: Mutex::default(),
+            state: Mutex::default(),
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -117,13 +128,22 @@
             }
         }
         let workers = self.open_workers();
-        let view = View { live, renew, catalog: &catalog, workers: &workers };
+        let view = View {
+            live,
+            renew,
+            catalog: &catalog,
+            workers: &workers,
+        };
         let mut progress = PoolProgress::default();
         plans.retain(|pool, plan| match plan.planner.step(now, view) {
             Ok(step) => {
                 let epoch = plan.planner.epoch();
                 let requests = step.requests.into_iter();
-                progress.requests.extend(requests.map(|request| PoolRequest { pool: pool.clone(), epoch, request }));
+                progress.requests.extend(requests.map(|request| PoolRequest {
+                    pool: pool.clone(),
+                    epoch,
+                    request,
+                }));
                 progress.ended.extend(step.ended);
                 true
             }
@@ -138,7 +158,10 @@
 
     fn summarize(&self, plans: &Plans) {
         let mut state = self.state();
-        state.waiting = plans.iter().map(|(pool, plan)| (pool.clone(), plan.planner.waiting())).collect();
+        state.waiting = plans
+            .iter()
+            .map(|(pool, plan)| (pool.clone(), plan.planner.waiting()))
+            .collect();
         state.quarantined = plans.values().flat_map(|plan| plan.planner.quarantined()).collect();
     }
 
@@ -175,7 +198,9 @@
             if let Some((row, _)) = &found {
                 let mine = row.holder == *me && row.boot == self.session.boot();
                 if !mine && !row.is_vacant() {
-                    let Some(check) = self.member.takeover(now, row) else { continue };
+                    let Some(check) = self.member.takeover(now, row) else {
+                        continue;
+                    };
                     checks.push(check);
                 }
             }
@@ -199,7 +224,9 @@
         match Planner::claim(claim, policy, now) {
             Ok(planner) => {
                 log::info!("pool {pool}: planned here with epoch {}", planner.epoch());
-                self.state().holders.insert(pool.clone(), self.session.instance().clone());
+                self.state()
+                    .holders
+                    .insert(pool.clone(), self.session.instance().clone());
                 plans.insert(pool.clone(), Plan { planner, surplus: None });
             }
             Err(PlannerError::Fenced) => log::debug!("pool {pool}: another instance was faster"),
--- a/src/instance/waiters.rs
+++ b/src/instance/waiters.rs
@@ -26,7 +26,7 @@
         let senders = self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(job);
         for sender in senders.into_iter().flatten() {
             // A waiter that has gone away needs no wake-up.
-            drop(sender.try_send(()));
+            let _ = sender.try_send(());
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,11 @@
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
 pub mod api;
+pub mod config;
+pub mod instance;
 pub mod job;
 pub mod member;
+pub mod metric;
 pub mod name;
 pub mod plan;
 pub mod planner;
@@ -17,3 +20,4 @@
 pub mod team;
 pub mod ticket;
 pub mod time;
+pub mod trace;
