Limit each instance to its share of the table

Cause: the system may use half of the platform's table, and nothing bounded what an instance sends in a burst.

Change: Limited<T> wraps a Table with token buckets for writes and reads, sized by the number of live instances, and counts per step. Lower priorities leave half, then a quarter, of the bucket to higher ones; the last token is left to session renewals, which have the same priority as outcomes and would otherwise starve in a wave of them.

Ruled out: one bucket of a second's share refilled with the whole share, because a burst then sees twice the share in its first second; the bucket holds a quarter of the share and is refilled with the rest. Counting rows as writes, because one 128-member placement would put an instance's bucket into debt for seconds.

Conclusion: sustained use is three quarters of the share by design.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,17 +4,22 @@
 //! [`Step`] that it belongs to: the write limiter takes its priority from the step, metrics count by it, and fakes
 //! inject faults before or after it.
 
+mod bucket;
 pub mod http;
+mod limit;
 mod listing;
 mod objects;
 mod step;
 mod table;
+mod usage;
 mod worker;
 
+pub use limit::{Limited, TableBudget};
 pub use listing::{Address, Listed, ListedInstance, ListedWorker, Listing, ListingError, Presence};
 pub use objects::{ObjectError, Objects};
 pub use step::{Priority, Step};
 pub use table::{Check, Key, OpId, Page, Put, Row, Table, TableError, Txn, Version};
+pub use usage::StepUsage;
 pub use worker::{
     Action, Batch, CallPart, CallRequest, Command, Refusal, Reply, Report, TaskReport, TaskState, WorkerError, Workers,
 };
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -1,6 +1,7 @@
 //! The platform's transactional table.
 
 use std::fmt;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -116,3 +117,20 @@
     /// Carries out a transaction; the version that all its rows got.
     fn commit(&self, txn: &Txn) -> Result<Version, TableError>;
 }
+
+impl<T> Table for Arc<T>
+where
+    T: Table + ?Sized,
+{
+    fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, TableError> {
+        T::read(self, keys)
+    }
+
+    fn scan(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page, TableError> {
+        T::scan(self, prefix, after, limit)
+    }
+
+    fn commit(&self, txn: &Txn) -> Result<Version, TableError> {
+        T::commit(self, txn)
+    }
+}
