--- /dev/null
+++ b/src/plan/cells.rs
@@ -0,0 +1,323 @@
+//! Where each guaranteed set of accelerators lies.
+//!
+//! Each set is a cell with a place of its own: no two cells overlap, a cell's accelerators are held by nobody, by
+//! borrowers or by its own team's jobs inside the guarantee, and nobody else's guaranteed job is ever placed on them.
+//! The places are a standing proof that all unused shapes fit at once. An unused cell may move or change places with
+//! another; that costs nothing, since nothing runs in it but borrowers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::cell;
+use super::fleet::Fleet;
+use super::worker::Worker;
+use crate::name::TeamName;
+use crate::team::Level;
+
+/// Accelerators of one worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Piece {
+    /// Number of the worker.
+    pub worker: usize,
+    /// The accelerators.
+    pub mask: u64,
+}
+
+/// One guaranteed set.
+#[derive(Debug, Clone)]
+pub(super) struct Cell {
+    /// Team that may claim it.
+    pub team: TeamName,
+    /// How adjacent its accelerators are.
+    pub level: Level,
+    /// Number of accelerators.
+    pub size: u32,
+    /// Its place.
+    pub pieces: Vec<Piece>,
+}
+
+impl Cell {
+    /// Accelerators that it has.
+    pub(super) fn count(&self) -> u32 {
+        count(&self.pieces)
+    }
+}
+
+fn count(pieces: &[Piece]) -> u32 {
+    pieces.iter().map(|piece| piece.mask.count_ones()).sum()
+}
+
+/// All guaranteed sets of the pool.
+#[derive(Debug, Default)]
+pub(super) struct Cells {
+    list: Vec<Cell>,
+    teams: BTreeMap<TeamName, Vec<usize>>,
+    at: Vec<Vec<usize>>,
+    /// Cells that are short of accelerators, or lie on workers that cannot be used.
+    pub bad: BTreeSet<usize>,
+}
+
+impl Cells {
+    pub(super) fn all(&self) -> &[Cell] {
+        &self.list
+    }
+
+    pub(super) fn cell(&self, index: usize) -> &Cell {
+        &self.list[index]
+    }
+
+    /// Numbers of a team's cells.
+    pub(super) fn of(&self, team: &TeamName) -> &[usize] {
+        self.teams.get(team).map_or(&[], Vec::as_slice)
+    }
+
+    /// Numbers of the cells on a worker.
+    pub(super) fn on(&self, worker: usize) -> &[usize] {
+        self.at.get(worker).map_or(&[], Vec::as_slice)
+    }
+
+    /// A team's accelerators on each worker.
+    pub(super) fn own(&self, team: &TeamName) -> BTreeMap<usize, u64> {
+        let mut own = BTreeMap::new();
+        for &index in self.of(team) {
+            for piece in &self.list[index].pieces {
+                *own.entry(piece.worker).or_default() |= piece.mask;
+            }
+        }
+        own
+    }
+
+    /// Adds a set that has no place yet.
+    pub(super) fn add(&mut self, team: &TeamName, level: Level, size: u32) {
+        let index = self.list.len();
+        self.list.push(Cell {
+            team: team.clone(),
+            level,
+            size,
+            pieces: Vec::new(),
+        });
+        self.teams.entry(team.clone()).or_default().push(index);
+        self.bad.insert(index);
+    }
+
+    /// Gives up all cells and returns them.
+    pub(super) fn clear(&mut self, fleet: &mut Fleet) -> Vec<Cell> {
+        for index in 0..self.list.len() {
+            let pieces = self.lift(fleet, index);
+            self.list[index].pieces = pieces;
+        }
+        self.teams.clear();
+        self.at.clear();
+        self.bad.clear();
+        std::mem::take(&mut self.list)
+    }
+
+    /// Whether a job inside the guarantee holds or is about to get part of it.
+    pub(super) fn used(&self, fleet: &Fleet, index: usize) -> bool {
+        for piece in &self.list[index].pieces {
+            let worker = fleet.worker(piece.worker);
+            if (worker.firm | worker.claimed) & piece.mask != 0 {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Takes a cell from its place.
+    pub(super) fn lift(&mut self, fleet: &mut Fleet, index: usize) -> Vec<Piece> {
+        let pieces = std::mem::take(&mut self.list[index].pieces);
+        for piece in &pieces {
+            fleet.update(piece.worker, |worker| worker.cells &= !piece.mask);
+            if let Some(at) = self.at.get_mut(piece.worker) {
+                at.retain(|&other| other != index);
+            }
+        }
+        pieces
+    }
+
+    /// Adds pieces to a cell's place.
+    pub(super) fn lay(&mut self, fleet: &mut Fleet, index: usize, pieces: &[Piece]) {
+        for piece in pieces {
+            fleet.update(piece.worker, |worker| worker.cells |= piece.mask);
+            if self.at.len() <= piece.worker {
+                self.at.resize(piece.worker + 1, Vec::new());
+            }
+            if !self.at[piece.worker].contains(&index) {
+                self.at[piece.worker].push(index);
+            }
+            let cell = &mut self.list[index];
+            match cell.pieces.iter_mut().find(|own| own.worker == piece.worker) {
+                Some(own) => own.mask |= piece.mask,
+                None => cell.pieces.push(*piece),
+            }
+        }
+    }
+
+    /// Changes the places of two unused cells.
+    pub(super) fn swap(&mut self, fleet: &mut Fleet, one: usize, other: usize) {
+        let first = self.lift(fleet, one);
+        let second = self.lift(fleet, other);
+        self.lay(fleet, one, &second);
+        self.lay(fleet, other, &first);
+    }
+
+    /// Gives a cell without a place the best-fitting one.
+    pub(super) fn place(&mut self, fleet: &mut Fleet, index: usize) -> bool {
+        let size = self.list[index].size;
+        let pieces = match self.list[index].level {
+            Level::Worker => spot(fleet, size).map(|piece| vec![piece]),
+            Level::Rack => rack_spot(fleet, size, Worker::spare),
+        };
+        let Some(pieces) = pieces else {
+            return false;
+        };
+        self.lay(fleet, index, &pieces);
+        true
+    }
+
+    /// Replaces what a cell in use has lost by accelerators of the same worker or rack.
+    pub(super) fn mend(&mut self, fleet: &mut Fleet, index: usize) {
+        let pieces = self.lift(fleet, index);
+        let mut kept = Vec::new();
+        for piece in pieces {
+            let worker = fleet.worker(piece.worker);
+            let taken = (worker.firm | worker.claimed) & piece.mask;
+            let mask = if worker.usable() {
+                piece.mask & worker.mask
+            } else {
+                taken
+            };
+            if mask != 0 {
+                kept.push(Piece { mask, ..piece });
+            }
+        }
+        self.lay(fleet, index, &kept);
+        let Some(first) = kept.first() else {
+            return;
+        };
+        let home = fleet.worker(first.worker);
+        let workers = match self.list[index].level {
+            Level::Worker => vec![first.worker],
+            Level::Rack => fleet.racks()[home.rack].workers.clone(),
+        };
+        for number in workers {
+            let missing = self.list[index].size.saturating_sub(self.list[index].count());
+            let worker = fleet.worker(number);
+            if missing == 0 || !worker.usable() {
+                continue;
+            }
+            let size = missing.min(worker.spare().count_ones());
+            if let Some(mask) = cell::pick(worker.spare(), size) {
+                self.lay(fleet, index, &[Piece { worker: number, mask }]);
+            }
+        }
+    }
+
+    /// Exchanges part of a cell in use for accelerators that its team's job was found to hold.
+    pub(super) fn trade(&mut self, fleet: &mut Fleet, index: usize, taken: Piece) {
+        let mut pieces = self.lift(fleet, index);
+        let mut left = taken
+            .mask
+            .count_ones()
+            .saturating_sub(self.list[index].size.saturating_sub(count(&pieces)));
+        for piece in &mut pieces {
+            let worker = fleet.worker(piece.worker);
+            let loose = piece.mask & !worker.firm & !worker.claimed;
+            let drop = cell::lowest(loose, left.min(loose.count_ones()));
+            piece.mask &= !drop;
+            left -= drop.count_ones();
+        }
+        pieces.retain(|piece| piece.mask != 0);
+        pieces.push(taken);
+        self.lay(fleet, index, &pieces);
+    }
+
+    /// Accelerators of a cell that no job inside the guarantee holds, and room that it has for more.
+    pub(super) fn loose(&self, fleet: &Fleet, index: usize) -> u32 {
+        let cell = &self.list[index];
+        let mut taken = 0;
+        for piece in &cell.pieces {
+            let worker = fleet.worker(piece.worker);
+            taken += (piece.mask & (worker.firm | worker.claimed)).count_ones();
+        }
+        cell.size.saturating_sub(taken)
+    }
+
+    /// Whether a cell is whole and on usable workers.
+    pub(super) fn sound(&self, fleet: &Fleet, index: usize) -> bool {
+        let cell = &self.list[index];
+        for piece in &cell.pieces {
+            let worker = fleet.worker(piece.worker);
+            if !worker.usable() || piece.mask & !worker.mask != 0 {
+                return false;
+            }
+        }
+        cell.count() >= cell.size
+    }
+}
+
+/// Best-fitting place in one worker, first where cores, memory and slots suffice too.
+fn spot(fleet: &Fleet, size: u32) -> Option<Piece> {
+    let mut second = None;
+    for (index, worker) in fleet.with_spare(size) {
+        let Some(mask) = cell::pick(worker.spare(), size) else {
+            continue;
+        };
+        let piece = Piece { worker: index, mask };
+        if worker.roomy(size) {
+            return Some(piece);
+        }
+        second = second.or(Some(piece));
+    }
+    second
+}
+
+/// Best-fitting place in one rack, made of the accelerators that `allowed` returns.
+pub(super) fn rack_spot<F>(fleet: &Fleet, size: u32, allowed: F) -> Option<Vec<Piece>>
+where
+    F: Fn(&Worker) -> u64,
+{
+    let mut best: Option<(u32, usize)> = None;
+    for (index, rack) in fleet.racks().iter().enumerate() {
+        if rack.spare < size || best.is_some_and(|(least, _)| least <= rack.spare) {
+            continue;
+        }
+        let mut total = 0;
+        for &number in &rack.workers {
+            let worker = fleet.worker(number);
+            if worker.usable() {
+                total += allowed(worker).count_ones();
+            }
+        }
+        if total >= size {
+            best = Some((rack.spare, index));
+        }
+    }
+    gather(fleet, best?.1, size, allowed)
+}
+
+/// Takes whole workers while they are needed whole, then a fitting cell for the rest.
+fn gather<F>(fleet: &Fleet, rack: usize, size: u32, allowed: F) -> Option<Vec<Piece>>
+where
+    F: Fn(&Worker) -> u64,
+{
+    let mut offers = Vec::new();
+    for &number in &fleet.racks()[rack].workers {
+        let worker = fleet.worker(number);
+        let mask = allowed(worker);
+        if worker.usable() && mask != 0 {
+            offers.push((mask.count_ones(), number, mask));
+        }
+    }
+    offers.sort_unstable_by(|a, b| b.cmp(a));
+    let mut left = size;
+    let mut pieces = Vec::new();
+    while left > 0 {
+        let whole = offers.iter().position(|&(count, ..)| count <= left);
+        let index = whole.or(offers.len().checked_sub(1))?;
+        let (count, worker, mask) = offers.remove(index);
+        let mask = cell::pick(mask, count.min(left))?;
+        left -= mask.count_ones();
+        pieces.push(Piece { worker, mask });
+    }
+    Some(pieces)
+}
--- /dev/null
+++ b/src/plan/decide.rs
@@ -0,0 +1,260 @@
+//! The passes of a decision.
+
+use super::book::flexible;
+use super::{Decision, Event, Policy, QueuedJob, Scheduler};
+use crate::job::Seat;
+use crate::name::JobId;
+use crate::time::Millis;
+
+/// A job that has waited this long goes before the fair order, and reclaims inside its team's guarantee.
+pub const AGING: Millis = Millis::from_secs(600);
+/// Searches in one decision; the rest follows in the next, which is asked for at once.
+const SEARCHES_MAX: usize = 48;
+/// Aged jobs looked at in one decision.
+const AGED_MAX: usize = 64;
+/// A gang that has waited this long gets a reservation.
+const RESERVE_AFTER: Millis = Millis::from_secs(30);
+/// Time between two attempts to make a reservation, which cost more than all else in a decision.
+const RESERVE_PAUSE: Millis = Millis::from_secs(1);
+/// Accelerators from which on a job counts as large.
+const LARGE: u32 = 4;
+/// Jobs looked at to find the oldest large gang.
+const CANDIDATES_MAX: usize = 256;
+/// A shape is given up only when no worker has joined for this long, since a new planner hears of workers one by one.
+const JOIN_QUIET: Millis = Millis::from_secs(10);
+/// Everything is tried again after this time, since estimates and ages change without an event.
+const RETRY: Millis = Millis::from_secs(5);
+
+/// How a job is tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    Urgent,
+    Aged,
+    Fair,
+}
+
+impl Policy for Scheduler {
+    fn apply(&mut self, now: Millis, event: Event) {
+        self.take_in(now, event);
+    }
+
+    fn decide(&mut self, now: Millis) -> Vec<Decision> {
+        let mut out = std::mem::take(&mut self.outbox);
+        self.settle();
+        self.expire(now);
+        self.finish_claims(now, &mut out);
+        self.redeem(now, &mut out);
+        let mut searches = SEARCHES_MAX;
+        self.more = false;
+        self.try_urgent(now, &mut searches, &mut out);
+        self.try_aged(now, &mut searches, &mut out);
+        self.try_reserved(now, &mut out);
+        self.try_fair(now, &mut searches, &mut out);
+        self.probe(now, &mut out);
+        out
+    }
+
+    fn wake(&self) -> Option<Millis> {
+        if self.more || self.unsettled || !self.outbox.is_empty() {
+            return Some(self.last);
+        }
+        let mut wake = self.retries.first().copied();
+        let mut earliest = |at: Option<Millis>| {
+            if let Some(at) = at {
+                wake = Some(wake.map_or(at, |now| now.min(at)));
+            }
+        };
+        earliest(self.reservation.as_ref().map(|held| held.at));
+        if let Some((since, _)) = self.order.oldest().next() {
+            earliest(self.health.next_probe());
+            earliest(Some(self.last + RETRY));
+            earliest(Some(*since + AGING).filter(|at| *at > self.last));
+        }
+        wake
+    }
+}
+
+impl Scheduler {
+    fn expire(&mut self, now: Millis) {
+        let mut due = now.since(self.last) >= RETRY;
+        while self.retries.first().is_some_and(|at| *at <= now) {
+            self.retries.pop_first();
+            due = true;
+        }
+        if due {
+            self.shapes.clear();
+            self.order.freed();
+            self.order.tidy();
+        }
+        self.last = now;
+    }
+
+    fn try_urgent(&mut self, now: Millis, searches: &mut usize, out: &mut Vec<Decision>) {
+        let mut turns = Vec::new();
+        for (_, id) in self.order.urgent() {
+            let job = &self.jobs[id].job;
+            if !self.order.has_failed(job) {
+                turns.push(id.clone());
+            }
+        }
+        self.try_all(now, turns, Turn::Urgent, searches, out);
+    }
+
+    fn try_aged(&mut self, now: Millis, searches: &mut usize, out: &mut Vec<Decision>) {
+        let mut turns = Vec::new();
+        for (since, id) in self.order.oldest().take(AGED_MAX) {
+            if now.since(*since) < AGING {
+                break;
+            }
+            if !self.order.has_failed(&self.jobs[id].job) {
+                turns.push(id.clone());
+            }
+        }
+        self.try_all(now, turns, Turn::Aged, searches, out);
+    }
+
+    fn try_all(&mut self, now: Millis, turns: Vec<JobId>, turn: Turn, searches: &mut usize, out: &mut Vec<Decision>) {
+        for id in turns {
+            if *searches == 0 {
+                self.more = true;
+                return;
+            }
+            let job = self.jobs[&id].job.clone();
+            if !self.order.has_failed(&job) {
+                self.attempt(now, &job, turn, searches, out);
+            }
+        }
+    }
+
+    fn try_fair(&mut self, now: Millis, searches: &mut usize, out: &mut Vec<Decision>) {
+        while let Some(id) = self.order.next() {
+            if *searches == 0 {
+                self.more = true;
+                return;
+            }
+            let job = self.jobs[&id].job.clone();
+            self.attempt(now, &job, Turn::Fair, searches, out);
+        }
+    }
+
+    /// Tries one job; a failure is remembered for its class.
+    fn attempt(&mut self, now: Millis, job: &QueuedJob, turn: Turn, searches: &mut usize, out: &mut Vec<Decision>) {
+        if self.jobs[&job.id].pause > now || !self.order.within_quota(job) {
+            self.order.fail(job, false);
+            return;
+        }
+        *searches -= 1;
+        if let Some(seats) = self.find_inside(now, job, turn != Turn::Fair) {
+            self.place(now, &job.id, seats, true, out);
+            return;
+        }
+        if turn == Turn::Urgent && self.reclaim(now, job, out) {
+            return;
+        }
+        let mut anywhere = false;
+        if flexible(job) && !self.order.has_failed_anywhere(job) {
+            if let Some(seats) = self.find_anywhere(now, job) {
+                self.place(now, &job.id, seats, false, out);
+                return;
+            }
+            anywhere = true;
+        }
+        if turn == Turn::Aged && self.reclaim(now, job, out) {
+            return;
+        }
+        if now.since(self.joined) >= JOIN_QUIET && !self.possible(now, &job.shape) {
+            self.reject(&job.id, out);
+            return;
+        }
+        self.order.fail(job, anywhere);
+    }
+
+    fn reject(&mut self, id: &JobId, out: &mut Vec<Decision>) {
+        self.health.forget(id);
+        self.drop_job(id);
+        out.push(Decision::Reject {
+            job: id.clone(),
+            reason: "no machine, rack or domain of this pool is large enough for the job, even when empty".to_owned(),
+            failed: false,
+        });
+    }
+
+    /// Records and tells a placement.
+    pub(super) fn place(&mut self, now: Millis, id: &JobId, seats: Vec<Seat>, firm: bool, out: &mut Vec<Decision>) {
+        if self.reservation.as_ref().is_some_and(|held| held.job == *id) {
+            self.drop_reservation();
+        }
+        let job = self.jobs[id].job.clone();
+        self.order.remove(&job);
+        self.hold(now, id, &seats, firm);
+        out.push(Decision::Place {
+            job: id.clone(),
+            seats,
+            guaranteed: firm,
+        });
+    }
+
+    /// Tries the job that has a reservation, or makes one for the oldest large gang.
+    fn try_reserved(&mut self, now: Millis, out: &mut Vec<Decision>) {
+        if let Some(held) = &self.reservation {
+            let job = self.jobs[&held.job].job.clone();
+            if !self.order.within_quota(&job) {
+                self.drop_reservation();
+            } else if let Some(seats) = self.find_anywhere(now, &job) {
+                self.place(now, &job.id, seats, false, out);
+            } else {
+                return;
+            }
+        }
+        if now.since(self.sought) < RESERVE_PAUSE {
+            return;
+        }
+        let mut next = None;
+        for (since, id) in self.order.oldest().take(CANDIDATES_MAX) {
+            let job = &self.jobs[id].job;
+            let waited = now.since(*since);
+            let large = job.shape.members > 1 || u32::from(job.shape.accelerators) >= LARGE;
+            let due = waited >= AGING || (large && waited >= RESERVE_AFTER);
+            if due && flexible(job) && self.order.within_quota(job) && self.order.has_failed_anywhere(job) {
+                next = Some(job.clone());
+                break;
+            }
+        }
+        if let Some(job) = next {
+            self.sought = now;
+            self.reserve(now, &job);
+        }
+    }
+
+    /// Gives one small job that may fail to each quarantined worker that is due for a probe.
+    fn probe(&mut self, now: Millis, out: &mut Vec<Decision>) {
+        for name in self.health.probes(now) {
+            let Some(index) = self.fleet.index(&name) else {
+                continue;
+            };
+            let worker = self.fleet.worker(index);
+            if !worker.up || worker.leaving {
+                continue;
+            }
+            let mut found = None;
+            for (_, id) in self.order.oldest().take(CANDIDATES_MAX) {
+                let job = &self.jobs[id].job;
+                let single = job.shape.members == 1 && job.idempotent && !self.health.has_failed(id);
+                if single && self.order.within_quota(job) && worker.members(&job.shape, worker.free()) > 0 {
+                    found = Some(job.clone());
+                    break;
+                }
+            }
+            let Some(job) = found else {
+                continue;
+            };
+            let mask = super::cell::pick(worker.free(), u32::from(job.shape.accelerators)).unwrap_or(0);
+            let seat = Seat {
+                worker: name.clone(),
+                accelerators: super::cell::indices(mask),
+            };
+            self.health.probed(now, &name, &job.id);
+            self.place(now, &job.id, vec![seat], false, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/plan/estimate.rs
@@ -0,0 +1,114 @@
+//! Run times and worker speeds, learned from finished work.
+//!
+//! The logarithm of a run time is modelled as the sum of what was declared, a correction for the team and kind, and the
+//! slowness of the worker. Each finished job moves the correction and the speed by part of the error, so declarations
+//! that are wrong by a factor of 10 are corrected after a few jobs and one odd job does little harm.
+
+use std::collections::BTreeMap;
+
+use crate::name::{KindName, TeamName, WorkerName};
+use crate::time::Millis;
+
+/// Run time assumed for a job that declares none, before anything is known of its kind.
+const DEFAULT: Millis = Millis::from_secs(3600);
+/// Corrections are kept within this factor, slightly beyond the factor of 10 that declarations are wrong by.
+const CORRECTION_MAX: f64 = 20.0;
+/// Speeds differ by a factor of 4; estimates are kept within this factor of the mean.
+const SPEED_MAX: f64 = 4.0;
+/// Least part of an error that a correction takes on; the first jobs count more.
+const STEP_MIN: f64 = 0.1;
+/// Part of an error that is laid to the worker; smaller than the first steps of a correction, which is learned first.
+const SPEED_STEP: f64 = 0.15;
+/// Spread of run times, as a logarithm, before any is observed.
+const SPREAD: f64 = 0.7;
+
+/// What is known of one kind of one team.
+#[derive(Debug, Default, Clone, Copy)]
+struct Correction {
+    log: f64,
+    spread: f64,
+    count: u32,
+}
+
+impl Correction {
+    fn learn(&mut self, error: f64) {
+        self.count += 1;
+        let step = (1.0 / f64::from(self.count)).max(STEP_MIN);
+        self.spread += step * (error.abs() - self.spread);
+        let limit = CORRECTION_MAX.ln();
+        self.log = (self.log + step * error).clamp(-limit, limit);
+    }
+}
+
+/// Estimates of one pool.
+#[derive(Debug, Default)]
+pub struct Estimates {
+    teams: BTreeMap<(TeamName, KindName, bool), Correction>,
+    kinds: BTreeMap<(KindName, bool), Correction>,
+    speeds: BTreeMap<WorkerName, f64>,
+}
+
+impl Estimates {
+    fn correction(&self, team: &TeamName, kind: &KindName, declared: bool) -> Option<Correction> {
+        let own = self.teams.get(&(team.clone(), kind.clone(), declared));
+        own.or_else(|| self.kinds.get(&(kind.clone(), declared))).copied()
+    }
+
+    fn base(declared: Millis) -> f64 {
+        let base = if declared == Millis::ZERO { DEFAULT } else { declared };
+        base.as_secs_f64().ln()
+    }
+
+    /// Expected run time on a worker of mean speed.
+    pub fn expect(&self, team: &TeamName, kind: &KindName, declared: Millis) -> Millis {
+        let log = self.correction(team, kind, declared != Millis::ZERO);
+        let log = log.map_or(0.0, |known| known.log);
+        Millis(((Self::base(declared) + log).exp() * 1000.0) as u64)
+    }
+
+    /// Run time that most jobs stay below, for promises to others.
+    pub fn bound(&self, team: &TeamName, kind: &KindName, declared: Millis) -> Millis {
+        let known = self.correction(team, kind, declared != Millis::ZERO);
+        let spread = known.map_or(SPREAD, |known| known.spread);
+        let expected = self.expect(team, kind, declared);
+        Millis((expected.0 as f64 * spread.exp()) as u64)
+    }
+
+    /// Speed of a worker relative to the fleet's mean.
+    pub fn speed(&self, worker: &WorkerName) -> f64 {
+        self.speeds.get(worker).copied().unwrap_or(0.0).exp()
+    }
+
+    /// Takes in a finished job; its slowest worker determines how long it took.
+    pub fn finished(
+        &mut self,
+        team: &TeamName,
+        kind: &KindName,
+        declared: Millis,
+        took: Millis,
+        workers: &[WorkerName],
+    ) {
+        let known = declared != Millis::ZERO;
+        let mut slowest: Option<(f64, &WorkerName)> = None;
+        for worker in workers {
+            let log = self.speeds.get(worker).copied().unwrap_or(0.0);
+            if slowest.is_none_or(|(least, _)| log < least) {
+                slowest = Some((log, worker));
+            }
+        }
+        let log = slowest.map_or(0.0, |(log, _)| log);
+        let seen = took.as_secs_f64().max(0.001).ln() - Self::base(declared) + log;
+        let own = self.teams.entry((team.clone(), kind.clone(), known)).or_default();
+        let error = seen - own.log;
+        let settled = own.count >= 3;
+        own.learn(error);
+        let shared = self.kinds.entry((kind.clone(), known)).or_default();
+        shared.learn(seen - shared.log);
+        // The first jobs of a kind say more about the declaration than about the worker.
+        if let (Some((log, worker)), true) = (slowest, settled) {
+            let limit = SPEED_MAX.ln();
+            let log = (log - SPEED_STEP * error).clamp(-limit, limit);
+            self.speeds.insert(worker.clone(), log);
+        }
+    }
+}
--- /dev/null
+++ b/src/plan/guarantee.rs
@@ -0,0 +1,95 @@
+//! Check of guarantees against a fleet, and the sentence that says what is missing.
+
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+use super::WorkerSpec;
+use super::cells::Cells;
+use super::fleet::Fleet;
+use super::pack;
+use crate::name::{PoolName, TeamName, WorkerName};
+use crate::team::{Guarantee, Level, Team};
+
+/// A guarantee that the fleet cannot hold next to all others.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error(
+    "the machines of pool {} have no room for {missing} of the {} guaranteed to team {team}: each needs {}",
+    .guarantee.pool, sets(.guarantee), needs(.guarantee)
+)]
+pub struct Shortfall {
+    /// The team.
+    pub team: TeamName,
+    /// The guarantee.
+    pub guarantee: Guarantee,
+    /// Number of its sets that do not fit.
+    pub missing: u16,
+}
+
+fn sets(guarantee: &Guarantee) -> String {
+    match guarantee.count {
+        1 => "1 set".to_owned(),
+        count => format!("{count} sets"),
+    }
+}
+
+fn needs(guarantee: &Guarantee) -> String {
+    let place = match guarantee.level {
+        Level::Worker => "in one machine",
+        Level::Rack => "in one rack",
+    };
+    match guarantee.accelerators {
+        1 => "1 accelerator".to_owned(),
+        count => format!("{count} accelerators together {place}"),
+    }
+}
+
+/// Whether all teams' guarantees in a pool fit its workers at once, without overlap.
+pub fn fit_guarantees(
+    workers: &BTreeMap<WorkerName, WorkerSpec>,
+    pool: &PoolName,
+    teams: &BTreeMap<TeamName, Team>,
+) -> Result<(), Shortfall> {
+    let mut fleet = Fleet::default();
+    for spec in workers.values() {
+        fleet.join(spec.clone());
+    }
+    let mut cells = Cells::default();
+    pack::reconcile(&mut cells, &mut fleet, pool, teams);
+    pack::settle(&mut cells, &mut fleet);
+    match shortfalls(&cells, &fleet, pool).into_iter().next() {
+        Some(shortfall) => Err(shortfall),
+        None => Ok(()),
+    }
+}
+
+/// Guarantees of which some sets have no whole place on usable workers.
+pub(super) fn shortfalls(cells: &Cells, fleet: &Fleet, pool: &PoolName) -> Vec<Shortfall> {
+    let mut missing = BTreeMap::<(&TeamName, Level, u32), u16>::new();
+    for &index in &cells.bad {
+        if cells.sound(fleet, index) {
+            continue;
+        }
+        let cell = cells.cell(index);
+        *missing.entry((&cell.team, cell.level, cell.size)).or_default() += 1;
+    }
+    let mut all = Vec::new();
+    for ((team, level, size), missing) in missing {
+        let mut count = 0;
+        for &index in cells.of(team) {
+            let cell = cells.cell(index);
+            count += u16::from(cell.level == level && cell.size == size);
+        }
+        all.push(Shortfall {
+            team: team.clone(),
+            guarantee: Guarantee {
+                pool: pool.clone(),
+                level,
+                accelerators: size as u16,
+                count,
+            },
+            missing,
+        });
+    }
+    all
+}
--- /dev/null
+++ b/src/plan/health.rs
@@ -0,0 +1,287 @@
+//! Who is to blame for failures: the job, the worker, or neither.
+//!
+//! A failure is laid to a pair of job and worker. A worker is suspected by the number of different jobs that failed
+//! there, each weighted by how well its kind does elsewhere; a job is given up once it has failed on enough workers
+//! that are not suspected. Failures around the loss of several workers of a rack or domain are forgotten.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::name::{DomainName, JobId, KindName, RackName, TeamName, WorkerName};
+use crate::time::Millis;
+
+/// Different healthy workers on which a job may fail.
+pub const JOB_FAILURES_MAX: usize = 3;
+/// Attempts that may fail at all; ends jobs in pools with fewer workers than [`JOB_FAILURES_MAX`].
+const ATTEMPTS_MAX: u32 = 8;
+/// Weighted number of different failed jobs at which a worker is quarantined.
+const WORKER_BLAME_MAX: f64 = 3.0;
+/// Failures older than this no longer count against a worker.
+const MEMORY: Millis = Millis::from_secs(1800);
+/// Losses in one rack or domain within this time count as one incident.
+const INCIDENT: Millis = Millis::from_secs(15);
+/// Workers of one rack or domain whose loss within [`INCIDENT`] makes an incident.
+const INCIDENT_WORKERS: usize = 3;
+/// First wait before a probe; doubles after each failed probe.
+const PROBE_AFTER: Millis = Millis::from_secs(120);
+/// Longest wait before a probe.
+const PROBE_AFTER_MAX: Millis = Millis::from_secs(3600);
+
+#[derive(Debug, Clone)]
+struct Failure {
+    at: Millis,
+    job: JobId,
+    family: (TeamName, KindName),
+}
+
+#[derive(Debug, Default, Clone)]
+struct Record {
+    failures: Vec<Failure>,
+    successes: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Probe {
+    due: Millis,
+    wait: Millis,
+    job: Option<JobId>,
+}
+
+/// Where a worker stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Site {
+    /// Its name.
+    pub worker: WorkerName,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its domain.
+    pub domain: DomainName,
+}
+
+/// Failures of one pool and what follows from them.
+#[derive(Debug, Default)]
+pub struct Health {
+    workers: BTreeMap<WorkerName, Record>,
+    jobs: BTreeMap<JobId, (BTreeSet<WorkerName>, u32)>,
+    families: BTreeMap<(TeamName, KindName), (BTreeMap<WorkerName, u32>, u32)>,
+    losses: Vec<(Millis, Site)>,
+    incidents: Vec<(Millis, Site, bool)>,
+    probes: BTreeMap<WorkerName, Probe>,
+}
+
+impl Health {
+    /// Takes in that a job failed on a worker; says whether the worker is to be quarantined.
+    pub fn failed(&mut self, now: Millis, job: &JobId, family: (TeamName, KindName), site: &Site) -> bool {
+        if self.in_incident(now, site) {
+            return false;
+        }
+        let known = self.jobs.entry(job.clone()).or_default();
+        known.1 += 1;
+        known.0.insert(site.worker.clone());
+        let counts = self.families.entry(family.clone()).or_default();
+        *counts.0.entry(site.worker.clone()).or_default() += 1;
+        let record = self.workers.entry(site.worker.clone()).or_default();
+        record
+            .failures
+            .retain(|old| now.since(old.at) < MEMORY && old.job != *job);
+        record.successes /= 2;
+        record.failures.push(Failure {
+            at: now,
+            job: job.clone(),
+            family,
+        });
+        if let Some(probe) = self.probes.get_mut(&site.worker) {
+            if probe.job.as_ref() == Some(job) {
+                probe.wait = Millis((probe.wait.0 * 2).min(PROBE_AFTER_MAX.0));
+            }
+            return false;
+        }
+        self.blame(&site.worker) >= WORKER_BLAME_MAX
+    }
+
+    fn blame(&self, worker: &WorkerName) -> f64 {
+        let Some(record) = self.workers.get(worker) else {
+            return 0.0;
+        };
+        let mut blame = 0.0;
+        for failure in &record.failures {
+            let Some((failed, succeeded)) = self.families.get(&failure.family) else {
+                continue;
+            };
+            // Failures of the family on other workers point to the family rather than to this worker.
+            let elsewhere = failed.iter().filter(|(other, _)| *other != worker);
+            let elsewhere = elsewhere.map(|(_, count)| *count).sum::<u32>();
+            let good = f64::from(*succeeded) + 1.0;
+            let weight = good / (good + f64::from(elsewhere));
+            let others = self.jobs.get(&failure.job).map_or(1, |(workers, _)| workers.len());
+            blame += weight / others.max(1) as f64;
+        }
+        blame / (1.0 + 0.5 * f64::from(record.successes))
+    }
+
+    /// Puts a worker in quarantine; failures there no longer count against jobs.
+    pub fn quarantine(&mut self, now: Millis, worker: &WorkerName) {
+        for (workers, _) in self.jobs.values_mut() {
+            workers.remove(worker);
+        }
+        for (failed, _) in self.families.values_mut() {
+            failed.remove(worker);
+        }
+        self.probes.insert(
+            worker.clone(),
+            Probe {
+                due: now + PROBE_AFTER,
+                wait: PROBE_AFTER,
+                job: None,
+            },
+        );
+    }
+
+    /// Takes in that a job completed; names the quarantined workers that it vouches for.
+    pub fn completed(&mut self, job: &JobId, family: &(TeamName, KindName), workers: &[WorkerName]) -> Vec<WorkerName> {
+        self.jobs.remove(job);
+        self.families.entry(family.clone()).or_default().1 += 1;
+        let mut cleared = Vec::new();
+        for worker in workers {
+            if let Some(probe) = self.probes.get(worker) {
+                // Jobs from before the quarantine say nothing about work that is started now.
+                if probe.job.as_ref() == Some(job) {
+                    self.probes.remove(worker);
+                    self.workers.remove(worker);
+                    cleared.push(worker.clone());
+                }
+                continue;
+            }
+            // A success outweighs older failures, so only a worker that fails nearly everything is suspected.
+            if let Some(record) = self.workers.get_mut(worker) {
+                record.successes = (record.successes + 1).min(8);
+            }
+        }
+        cleared
+    }
+
+    /// Takes in that a worker was lost.
+    pub fn lost(&mut self, now: Millis, site: &Site) {
+        self.losses
+            .retain(|(at, old)| now.since(*at) < INCIDENT && old.worker != site.worker);
+        self.losses.push((now, site.clone()));
+        let same = |wide: bool| {
+            let near = |old: &Site| {
+                if wide {
+                    old.domain == site.domain
+                } else {
+                    old.rack == site.rack
+                }
+            };
+            self.losses.iter().filter(|(_, old)| near(old)).count()
+        };
+        let rack = same(false) >= INCIDENT_WORKERS;
+        let racks = self.losses.iter().filter(|(_, old)| old.domain == site.domain);
+        let racks = racks.map(|(_, old)| &old.rack).collect::<BTreeSet<_>>();
+        let wide = same(true) >= INCIDENT_WORKERS && racks.len() > 1;
+        if !rack && !wide {
+            return;
+        }
+        self.incidents.retain(|(at, ..)| now.since(*at) < INCIDENT);
+        self.incidents.push((now, site.clone(), wide));
+        self.forgive(now);
+    }
+
+    fn in_incident(&self, now: Millis, site: &Site) -> bool {
+        for (at, place, wide) in &self.incidents {
+            let near = place.rack == site.rack || (*wide && place.domain == site.domain);
+            if near && now.since(*at) < INCIDENT {
+                return true;
+            }
+        }
+        let lost = |(at, old): &(Millis, Site)| old.worker == site.worker && now.since(*at) < INCIDENT;
+        self.losses.iter().any(lost)
+    }
+
+    /// Forgets recent failures on workers that an incident touched: those lost, and those whose peers were.
+    fn forgive(&mut self, now: Millis) {
+        let lost = self.losses.iter().map(|(_, site)| site.worker.clone());
+        for worker in lost.collect::<Vec<_>>() {
+            let Some(record) = self.workers.get_mut(&worker) else {
+                continue;
+            };
+            let recent = |failure: &Failure| now.since(failure.at) < INCIDENT;
+            let (drop, keep) = record.failures.drain(..).partition::<Vec<_>, _>(recent);
+            record.failures = keep;
+            for failure in drop {
+                if let Some((workers, count)) = self.jobs.get_mut(&failure.job) {
+                    workers.remove(&worker);
+                    *count = count.saturating_sub(1);
+                }
+                if let Some((failed, _)) = self.families.get_mut(&failure.family) {
+                    failed.remove(&worker);
+                }
+            }
+        }
+    }
+
+    /// Why a job is to be given up, if it is.
+    pub fn hopeless(&self, job: &JobId) -> Option<String> {
+        let (workers, attempts) = self.jobs.get(job)?;
+        if workers.len() >= JOB_FAILURES_MAX {
+            let names = workers.iter().map(WorkerName::as_str).collect::<Vec<_>>();
+            return Some(format!(
+                "the job failed on {} different machines that run other jobs well: {}",
+                names.len(),
+                names.join(", ")
+            ));
+        }
+        if *attempts >= ATTEMPTS_MAX {
+            return Some(format!("the job failed {attempts} times"));
+        }
+        None
+    }
+
+    /// Whether a job has failed on a worker.
+    pub fn failed_on(&self, job: &JobId, worker: &WorkerName) -> bool {
+        self.jobs.get(job).is_some_and(|(workers, _)| workers.contains(worker))
+    }
+
+    /// Whether a job has failed anywhere.
+    pub fn has_failed(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Forgets a job that is over.
+    pub fn forget(&mut self, job: &JobId) {
+        self.jobs.remove(job);
+    }
+
+    /// Quarantined workers that may get a probe now.
+    pub fn probes(&self, now: Millis) -> Vec<WorkerName> {
+        let due = self.probes.iter().filter(|(_, probe)| probe.due <= now);
+        due.map(|(worker, _)| worker.clone()).collect()
+    }
+
+    /// When the next probe is due.
+    pub fn next_probe(&self) -> Option<Millis> {
+        self.probes.values().map(|probe| probe.due).min()
+    }
+
+    /// Takes in that a probe was placed, so that no second one is.
+    pub fn probed(&mut self, now: Millis, worker: &WorkerName, job: &JobId) {
+        if let Some(probe) = self.probes.get_mut(worker) {
+            probe.due = now + PROBE_AFTER_MAX;
+            probe.job = Some(job.clone());
+        }
+    }
+
+    /// Takes in that a job is over, or was not started; if it was a probe, the next one is due after the wait.
+    pub fn unprobed(&mut self, now: Millis, job: &JobId) {
+        for probe in self.probes.values_mut() {
+            if probe.job.as_ref() == Some(job) {
+                probe.job = None;
+                probe.due = now + probe.wait;
+            }
+        }
+    }
+
+    /// How many workers are in quarantine.
+    pub fn quarantined(&self) -> usize {
+        self.probes.len()
+    }
+}
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -4,16 +4,32 @@
 //! decisions out and reports back with further events; a decision that could not be carried out is reported as
 //! [`Event::Unplaced`]. Time comes in with each call.
 
+mod book;
 mod cell;
+mod cells;
+mod decide;
 mod decision;
+mod estimate;
 mod event;
 mod fleet;
+mod guarantee;
+mod health;
+mod order;
+mod pack;
 mod place;
 mod policy;
+mod reclaim;
+mod reserve;
 mod scheduler;
+mod search;
 mod worker;
 
+pub use decide::AGING;
 pub use decision::{Decision, StopReason};
+pub use estimate::Estimates;
 pub use event::{EndKind, Event, QueuedJob, RunningJob, WorkerSpec};
+pub use guarantee::{Shortfall, fit_guarantees};
+pub use health::{Health, Site};
+pub use place::can_hold;
 pub use policy::{Policy, Weights};
-pub use scheduler::Scheduler;
+pub use scheduler::{Reserved, Scheduler};
--- /dev/null
+++ b/src/plan/order.rs
@@ -0,0 +1,274 @@
+//! Waiting jobs and the order in which they are tried.
+//!
+//! Jobs of one team that ask for the same form one class; only the oldest of a class is tried, since the others fit
+//! nowhere that it does not. Teams are ranked by usage over weight, with usage as the larger share of accelerators or
+//! cores. What failed is remembered until capacity is freed, so that a decision costs little while nothing changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::QueuedJob;
+use crate::job::Shape;
+use crate::name::{JobId, KindName, TeamName};
+use crate::team::Team;
+use crate::time::Millis;
+
+/// Position in the queue: time of acceptance and name.
+pub(super) type Turn = (Millis, JobId);
+
+/// What makes two jobs of a team alike for the search.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Class {
+    /// What they need.
+    pub shape: Shape,
+    /// Whether they claim their team's guarantee.
+    pub urgent: bool,
+    /// Whether they can run outside the guarantee.
+    pub flexible: bool,
+    /// Whether they can resume.
+    pub checkpoints: bool,
+    /// Their kind, on which the run time depends.
+    pub kind: KindName,
+    /// Declared run time, as a power of two of milliseconds.
+    pub span: u32,
+}
+
+impl Class {
+    pub(super) fn of(job: &QueuedJob) -> Self {
+        Self {
+            shape: job.shape,
+            urgent: job.urgent,
+            flexible: job.checkpoints || job.idempotent,
+            checkpoints: job.checkpoints,
+            kind: job.kind.clone(),
+            span: u64::BITS - job.declared.0.leading_zeros(),
+        }
+    }
+}
+
+/// One team's queue and usage.
+#[derive(Debug)]
+pub(super) struct Line {
+    /// Accelerators held or claimed.
+    pub accelerators: u64,
+    /// Cores held or claimed.
+    pub cores: u64,
+    quota: Option<u64>,
+    weight: u16,
+    classes: BTreeMap<Class, BTreeSet<Turn>>,
+    rank: Option<u64>,
+    failed: BTreeMap<Class, u64>,
+    parked: u64,
+}
+
+/// All teams' queues.
+#[derive(Debug, Default)]
+pub(super) struct Order {
+    lines: Vec<Line>,
+    names: BTreeMap<TeamName, usize>,
+    ranks: BTreeSet<(u64, usize)>,
+    waiting: BTreeSet<Turn>,
+    urgent: BTreeSet<Turn>,
+    /// Accelerators and cores of the pool, at least 1.
+    total: (u64, u64),
+    failed: BTreeMap<Class, u64>,
+    generation: u64,
+}
+
+impl Order {
+    fn line(&mut self, team: &TeamName) -> usize {
+        if let Some(&index) = self.names.get(team) {
+            return index;
+        }
+        let index = self.lines.len();
+        self.lines.push(Line {
+            accelerators: 0,
+            cores: 0,
+            quota: None,
+            weight: 1,
+            classes: BTreeMap::new(),
+            rank: None,
+            failed: BTreeMap::new(),
+            parked: 0,
+        });
+        self.names.insert(team.clone(), index);
+        index
+    }
+
+    /// Sets weights and quotas; a team that is in no ticket keeps weight 1 and has no quota.
+    pub(super) fn set_teams(&mut self, teams: &BTreeMap<TeamName, Team>) {
+        for line in &mut self.lines {
+            line.quota = None;
+            line.weight = 1;
+        }
+        for (name, team) in teams {
+            let index = self.line(name);
+            self.lines[index].quota = Some(u64::from(team.quota));
+            self.lines[index].weight = team.weight.max(1);
+        }
+        self.rank_all();
+    }
+
+    /// Sets the size of the pool.
+    pub(super) fn set_total(&mut self, accelerators: u64, cores: u64) {
+        self.total = (accelerators, cores);
+        self.rank_all();
+    }
+
+    fn rank_all(&mut self) {
+        for index in 0..self.lines.len() {
+            self.rank(index);
+        }
+        self.freed();
+    }
+
+    fn rank(&mut self, index: usize) {
+        let line = &mut self.lines[index];
+        if let Some(rank) = line.rank.take() {
+            self.ranks.remove(&(rank, index));
+        }
+        if line.classes.is_empty() {
+            return;
+        }
+        let scale = 1_000_000_000;
+        let accelerators = line.accelerators * scale / self.total.0.max(1);
+        let cores = line.cores * scale / self.total.1.max(1);
+        let rank = accelerators.max(cores) / u64::from(line.weight);
+        line.rank = Some(rank);
+        self.ranks.insert((rank, index));
+    }
+
+    /// Adds a waiting job.
+    pub(super) fn push(&mut self, job: &QueuedJob) {
+        let turn = (job.since, job.id.clone());
+        let index = self.line(&job.team);
+        let line = &mut self.lines[index];
+        line.classes.entry(Class::of(job)).or_default().insert(turn.clone());
+        line.parked = 0;
+        self.rank(index);
+        if job.urgent {
+            self.urgent.insert(turn.clone());
+        }
+        self.waiting.insert(turn);
+    }
+
+    /// Removes a waiting job.
+    pub(super) fn remove(&mut self, job: &QueuedJob) {
+        let turn = (job.since, job.id.clone());
+        self.waiting.remove(&turn);
+        self.urgent.remove(&turn);
+        let index = self.line(&job.team);
+        let class = Class::of(job);
+        let classes = &mut self.lines[index].classes;
+        if let Some(turns) = classes.get_mut(&class) {
+            turns.remove(&turn);
+            if turns.is_empty() {
+                classes.remove(&class);
+            }
+        }
+        self.rank(index);
+    }
+
+    /// Counts a job's accelerators and cores to its team.
+    pub(super) fn charge(&mut self, job: &QueuedJob) {
+        let index = self.line(&job.team);
+        let line = &mut self.lines[index];
+        line.accelerators += u64::from(job.shape.total_accelerators());
+        line.cores += u64::from(job.shape.cores) * u64::from(job.shape.members);
+        self.rank(index);
+    }
+
+    /// Undoes [`Order::charge`].
+    pub(super) fn refund(&mut self, job: &QueuedJob) {
+        let index = self.line(&job.team);
+        let line = &mut self.lines[index];
+        let accelerators = u64::from(job.shape.total_accelerators());
+        line.accelerators = line.accelerators.saturating_sub(accelerators);
+        let cores = u64::from(job.shape.cores) * u64::from(job.shape.members);
+        line.cores = line.cores.saturating_sub(cores);
+        self.rank(index);
+    }
+
+    /// Whether a job stays within its team's quota.
+    pub(super) fn within_quota(&self, job: &QueuedJob) -> bool {
+        let Some(line) = self.names.get(&job.team).map(|&index| &self.lines[index]) else {
+            return true;
+        };
+        let need = u64::from(job.shape.total_accelerators());
+        line.quota.is_none_or(|quota| line.accelerators + need <= quota)
+    }
+
+    /// Capacity was freed: everything is worth another try.
+    pub(super) fn freed(&mut self) {
+        self.generation += 1;
+    }
+
+    /// Remembers that no seats were found for a job: anywhere, or only inside its team's guarantee and quota.
+    pub(super) fn fail(&mut self, job: &QueuedJob, anywhere: bool) {
+        let class = Class::of(job);
+        let index = self.line(&job.team);
+        self.lines[index].failed.insert(class.clone(), self.generation);
+        if anywhere {
+            self.failed.insert(class, self.generation);
+        }
+    }
+
+    /// Whether a job's class has failed since capacity was last freed.
+    pub(super) fn has_failed(&self, job: &QueuedJob) -> bool {
+        let Some(&index) = self.names.get(&job.team) else {
+            return false;
+        };
+        self.lines[index].failed.get(&Class::of(job)) == Some(&self.generation)
+    }
+
+    /// Whether a job's class has failed outside guarantees since capacity was last freed, for any team.
+    pub(super) fn has_failed_anywhere(&self, job: &QueuedJob) -> bool {
+        self.failed.get(&Class::of(job)) == Some(&self.generation)
+    }
+
+    /// Next job by fair share that is worth a try; parks teams that have none.
+    pub(super) fn next(&mut self) -> Option<JobId> {
+        for &(_, index) in &self.ranks {
+            let line = &mut self.lines[index];
+            if line.parked == self.generation + 1 {
+                continue;
+            }
+            let mut first: Option<&Turn> = None;
+            for (class, turns) in &line.classes {
+                if line.failed.get(class) == Some(&self.generation) {
+                    continue;
+                }
+                let turn = turns.first();
+                if first.is_none() || turn < first {
+                    first = turn;
+                }
+            }
+            if let Some((_, job)) = first {
+                return Some(job.clone());
+            }
+            line.parked = self.generation + 1;
+        }
+        None
+    }
+
+    /// Waiting jobs, the oldest first.
+    pub(super) fn oldest(&self) -> impl Iterator<Item = &Turn> {
+        self.waiting.iter()
+    }
+
+    /// Waiting urgent jobs, the oldest first.
+    pub(super) fn urgent(&self) -> impl Iterator<Item = &Turn> {
+        self.urgent.iter()
+    }
+
+    /// Drops what is remembered of failures that no longer count.
+    pub(super) fn tidy(&mut self) {
+        let now = self.generation;
+        self.failed.retain(|_, generation| *generation == now);
+        for line in &mut self.lines {
+            if line.classes.is_empty() {
+                line.failed.clear();
+            }
+            line.failed.retain(|_, generation| *generation == now);
+        }
+    }
+}
--- a/src/plan/place.rs
+++ b/src/plan/place.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use super::cell;
 use super::fleet::Fleet;
+use super::{WorkerSpec, cell};
 use crate::job::{Adjacency, Seat, Shape};
+use crate::name::WorkerName;
+use crate::time::Millis;
 
 /// What a worker can give to a job.
 #[derive(Debug, Clone, Copy)]
@@ -83,11 +85,14 @@
     Some(seats)
 }
 
-/// Whether the workers that are there could hold the gang if nothing else ran.
-pub(super) fn possible(fleet: &Fleet, shape: &Shape) -> bool {
+/// A lost worker counts as part of the pool for this time when a shape is judged impossible.
+const LOST_COUNTS: Millis = Millis::from_secs(3600);
+
+/// Whether the workers, with those lost a short while ago, could hold the gang if nothing else ran.
+pub(super) fn possible(fleet: &Fleet, shape: &Shape, now: Millis) -> bool {
     let mut groups = BTreeMap::<usize, u64>::new();
     for (index, worker) in fleet.workers().iter().enumerate() {
-        if !worker.up {
+        if !worker.up && now.since(worker.lost) > LOST_COUNTS {
             continue;
         }
         let total = groups.entry(group(fleet, shape.adjacent, index)).or_default();
@@ -98,3 +103,12 @@
     }
     false
 }
+
+/// Whether workers could hold a gang if nothing else ran.
+pub fn can_hold(workers: &BTreeMap<WorkerName, WorkerSpec>, shape: &Shape) -> bool {
+    let mut fleet = Fleet::default();
+    for spec in workers.values() {
+        fleet.join(spec.clone());
+    }
+    possible(&fleet, shape, Millis::ZERO)
+}
--- /dev/null
+++ b/src/plan/reclaim.rs
@@ -0,0 +1,267 @@
+//! Reclaim: seats inside a guarantee are vacated by stopping borrowers.
+
+use std::collections::BTreeSet;
+
+use super::book::{Claim, Stage};
+use super::place::{self, Offer};
+use super::worker::{Task, Worker};
+use super::{Decision, QueuedJob, Scheduler, StopReason, cell};
+use crate::job::{Seat, Shape};
+use crate::name::{JobId, TeamName};
+use crate::team::Level;
+use crate::time::Millis;
+
+/// Added to the cost of stopping another team's borrower; more than any loss of work.
+const FOREIGN_COST: f64 = 1e12;
+/// Added to the cost of stopping a job that cannot resume.
+const RESTART_COST: f64 = 1e9;
+/// Work that a job which checkpoints loses at most, since it is asked for a checkpoint when it is stopped.
+const CHECKPOINT_LOSS: Millis = Millis::from_secs(2);
+
+/// Cost of stopping a job: work lost in accelerator seconds, after whose job it is and whether it can resume.
+fn stop_cost(now: Millis, team: &TeamName, task: &Task) -> f64 {
+    if task.stopping {
+        return 0.0;
+    }
+    let mut ran = now.since(task.started);
+    let mut cost = 1.0;
+    if task.checkpoints {
+        ran = ran.min(CHECKPOINT_LOSS);
+    } else {
+        cost += RESTART_COST;
+    }
+    if task.team != *team {
+        cost += FOREIGN_COST;
+    }
+    let size = task.shape.total_accelerators().max(1);
+    cost + (ran.as_secs_f64() * f64::from(size)).min(RESTART_COST / 2.0)
+}
+
+impl Scheduler {
+    /// Stops borrowers in the team's guarantee and claims their seats for a job; `false` if the guarantee is used up.
+    pub(super) fn reclaim(&mut self, now: Millis, job: &QueuedJob, out: &mut Vec<Decision>) -> bool {
+        if job.shape.accelerators == 0 || self.cells.of(&job.team).is_empty() {
+            return false;
+        }
+        self.cheapen(now, job);
+        let Some(seats) = self.reclaimable(now, job) else {
+            return false;
+        };
+        let reason = StopReason::Reclaim { team: job.team.clone() };
+        let claim = Claim { seats, firm: true };
+        self.claim(now, job, claim, &reason, out)
+    }
+
+    /// Moves unused cells to where the least work is lost, as many as the job needs.
+    fn cheapen(&mut self, now: Millis, job: &QueuedJob) {
+        let mut found = 0;
+        for index in self.cells.of(&job.team).to_vec() {
+            if found >= job.shape.total_accelerators() {
+                break;
+            }
+            let cell = self.cells.cell(index);
+            let size = cell.size;
+            if cell.level != Level::Worker || size < u32::from(job.shape.accelerators) {
+                continue;
+            }
+            if self.cells.used(&self.fleet, index) {
+                continue;
+            }
+            let loss = |worker: &Worker, mask: u64| {
+                if worker.paused > now || mask & (worker.claimed | worker.firm) != 0 {
+                    return None;
+                }
+                let mut cost = 0.0;
+                for task in &worker.tasks {
+                    if task.mask & mask != 0 {
+                        cost += stop_cost(now, &job.team, task);
+                    }
+                }
+                Some(cost)
+            };
+            if let Some(best) = self.best_move(index, size, false, &Worker::free, loss) {
+                self.move_cell(index, best);
+            }
+            found += size;
+        }
+    }
+
+    /// Seats inside the guarantee, counting what borrowers hold as free.
+    fn reclaimable(&self, now: Millis, job: &QueuedJob) -> Option<Vec<Seat>> {
+        let mut offers = Vec::new();
+        for (index, own) in self.cells.own(&job.team) {
+            let worker = self.fleet.worker(index);
+            if !worker.usable() || worker.paused > now {
+                continue;
+            }
+            let free = own & worker.mask & !worker.firm & !worker.claimed;
+            let soft = worker.members_without(&job.shape, worker.free(), |task| !task.firm);
+            let members = worker.firm_members(&job.shape, own, free).min(soft);
+            if members == 0 {
+                continue;
+            }
+            let mut cost = 0.0;
+            for task in &worker.tasks {
+                if !task.firm && task.mask & free != 0 {
+                    cost += stop_cost(now, &job.team, task);
+                }
+            }
+            offers.push(Offer {
+                worker: index,
+                members,
+                free,
+                cost,
+            });
+        }
+        let mut offers = place::choose(&self.fleet, &job.shape, offers)?;
+        for offer in &mut offers {
+            offer.free = self.cheapest(now, job, offer);
+        }
+        place::seats(&self.fleet, &job.shape, &offers)
+    }
+
+    /// Accelerators of an offer with the least lost work: free ones, then whole borrowers one by one.
+    fn cheapest(&self, now: Millis, job: &QueuedJob, offer: &Offer) -> u64 {
+        let worker = self.fleet.worker(offer.worker);
+        let need = (offer.members * u64::from(job.shape.accelerators)) as u32;
+        let mut mask = offer.free & !worker.held;
+        let mut tasks = worker.tasks.iter().collect::<Vec<_>>();
+        tasks.sort_by(|a, b| stop_cost(now, &job.team, a).total_cmp(&stop_cost(now, &job.team, b)));
+        for task in tasks {
+            if mask.count_ones() >= need {
+                break;
+            }
+            mask |= offer.free & task.mask;
+        }
+        mask
+    }
+
+    /// Claims seats: borrowers that hold them, or the cores, memory and slots needed, are told to stop.
+    pub(super) fn claim(
+        &mut self,
+        now: Millis,
+        job: &QueuedJob,
+        claim: Claim,
+        reason: &StopReason,
+        out: &mut Vec<Decision>,
+    ) -> bool {
+        let Some(victims) = self.victims(now, job, &claim.seats) else {
+            return false;
+        };
+        for victim in victims {
+            self.stop(&victim, reason, out);
+        }
+        for seat in &claim.seats {
+            let index = self.fleet.enter(&seat.worker);
+            let mask = cell::mask(&seat.accelerators);
+            self.fleet.update(index, |worker| worker.claim(&job.shape, mask));
+        }
+        self.order.remove(job);
+        self.order.charge(job);
+        if let Some(entry) = self.jobs.get_mut(&job.id) {
+            entry.stage = Stage::Claiming(claim);
+        }
+        self.claims.insert(job.id.clone());
+        true
+    }
+
+    /// Tells a job to stop, once.
+    pub(super) fn stop(&mut self, id: &JobId, reason: &StopReason, out: &mut Vec<Decision>) {
+        let Some(held) = self.jobs.get(id).and_then(|entry| entry.held()) else {
+            return;
+        };
+        let first = held.seats.first().and_then(|seat| self.fleet.index(&seat.worker));
+        let told = first.is_some_and(|index| {
+            let tasks = &self.fleet.worker(index).tasks;
+            tasks.iter().any(|task| task.job == *id && task.stopping)
+        });
+        if told {
+            return;
+        }
+        self.fleet.change(id, &held.seats, |task| task.stopping = true);
+        out.push(Decision::Stop {
+            job: id.clone(),
+            reason: reason.clone(),
+        });
+    }
+
+    /// Borrowers that have to go for these seats; none if a job inside a guarantee is in the way.
+    fn victims(&self, now: Millis, job: &QueuedJob, seats: &[Seat]) -> Option<BTreeSet<JobId>> {
+        let mut victims = BTreeSet::new();
+        let mut rest = seats;
+        while let Some(first) = rest.first() {
+            let count = rest.iter().take_while(|seat| seat.worker == first.worker).count();
+            let worker = self.fleet.worker(self.fleet.index(&first.worker)?);
+            let mut mask = 0;
+            for seat in &rest[..count] {
+                mask |= cell::mask(&seat.accelerators);
+            }
+            if mask & (worker.firm | worker.claimed) != 0 {
+                return None;
+            }
+            for task in &worker.tasks {
+                if task.mask & mask != 0 {
+                    victims.insert(task.job.clone());
+                }
+            }
+            make_room(now, job, worker, (count as u64, mask), &mut victims)?;
+            rest = &rest[count..];
+        }
+        Some(victims)
+    }
+
+    /// Gives claimed seats to their jobs once everybody has left them.
+    pub(super) fn finish_claims(&mut self, now: Millis, out: &mut Vec<Decision>) {
+        for id in self.claims.clone() {
+            let Stage::Claiming(claim) = self.jobs[&id].stage.clone() else {
+                continue;
+            };
+            let mut vacant = true;
+            for seat in &claim.seats {
+                let index = self.fleet.enter(&seat.worker);
+                let worker = self.fleet.worker(index);
+                let total = worker.total();
+                vacant &= worker.held & cell::mask(&seat.accelerators) == 0
+                    && worker.load.cores <= total.cores
+                    && worker.load.memory <= total.memory
+                    && worker.load.slots <= total.slots;
+            }
+            if !vacant {
+                continue;
+            }
+            self.drop_claim(&id);
+            self.place(now, &id, claim.seats, claim.firm, out);
+        }
+    }
+}
+
+/// Adds borrowers of a worker until cores, memory and slots suffice too.
+fn make_room(
+    now: Millis,
+    job: &QueuedJob,
+    worker: &Worker,
+    need: (u64, u64),
+    victims: &mut BTreeSet<JobId>,
+) -> Option<()> {
+    let shape = Shape {
+        accelerators: 0,
+        ..job.shape
+    };
+    loop {
+        let gone = |task: &Task| task.stopping || victims.contains(&task.job);
+        if worker.members_without(&shape, 0, gone) >= need.0 {
+            return Some(());
+        }
+        let mut next: Option<(f64, &Task)> = None;
+        for task in &worker.tasks {
+            if task.firm || gone(task) {
+                continue;
+            }
+            let cost = stop_cost(now, &job.team, task);
+            if next.is_none_or(|(least, _)| cost < least) {
+                next = Some((cost, task));
+            }
+        }
+        victims.insert(next?.1.job.clone());
+    }
+}
--- /dev/null
+++ b/src/plan/reserve.rs
@@ -0,0 +1,159 @@
+//! Reservation: the oldest large gang is promised seats at a time.
+//!
+//! The time is the earliest at which enough running jobs are expected to have ended. Until then other jobs may use the
+//! seats if they end before or can be preempted. At that time borrowers that are still there have overrun and are
+//! stopped; seats inside guarantees are waited for under a new reservation.
+
+use std::collections::BTreeMap;
+
+use super::book::{Claim, flexible};
+use super::place::{self, Offer};
+use super::worker::{Load, Worker};
+use super::{Decision, QueuedJob, Scheduler, StopReason, cell};
+use crate::job::Seat;
+use crate::name::JobId;
+use crate::time::Millis;
+
+/// A job inside a guarantee that has overrun is expected to go on for this long.
+const OVERRUN_GUESS: Millis = Millis::from_secs(300);
+
+/// Seats promised to a gang.
+#[derive(Debug, Clone)]
+pub(super) struct Reservation {
+    /// The gang.
+    pub job: JobId,
+    /// When the seats are expected to be free.
+    pub at: Millis,
+    seats: Vec<Seat>,
+    workers: BTreeMap<usize, u64>,
+}
+
+impl Reservation {
+    /// Whether seats on a worker are promised.
+    pub(super) fn uses(&self, worker: usize) -> bool {
+        self.workers.contains_key(&worker)
+    }
+}
+
+impl Scheduler {
+    /// Promises seats to a job that waits; nothing happens if it could not even have them with the fleet empty.
+    pub(super) fn reserve(&mut self, now: Millis, job: &QueuedJob) {
+        let mut ends = Vec::new();
+        for worker in self.fleet.workers() {
+            for task in &worker.tasks {
+                ends.push(expected_end(now, task.end, task.firm));
+            }
+        }
+        ends.sort_unstable();
+        ends.dedup();
+        let last = ends.len();
+        // Offers only grow with time, so the earliest sufficient end is found by bisection.
+        let (mut low, mut high) = (0, last);
+        while low < high {
+            let middle = usize::midpoint(low, high);
+            if self.offers_at(now, job, ends[middle]).is_some() {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        let Some(&at) = ends.get(low) else {
+            return;
+        };
+        let Some(seats) = self.offers_at(now, job, at) else {
+            return;
+        };
+        let mut workers = BTreeMap::<usize, (u64, Load)>::new();
+        for seat in &seats {
+            let kept = workers.entry(self.fleet.enter(&seat.worker)).or_default();
+            kept.0 |= cell::mask(&seat.accelerators);
+            kept.1.add(&job.shape);
+        }
+        let mut masks = BTreeMap::new();
+        for (index, (mask, load)) in workers {
+            self.fleet.set_kept(index, mask, load);
+            masks.insert(index, mask);
+        }
+        self.reservation = Some(Reservation {
+            job: job.id.clone(),
+            at,
+            seats,
+            workers: masks,
+        });
+        self.order.freed();
+    }
+
+    /// Seats that a job could have at a time, if all goes as expected.
+    fn offers_at(&self, now: Millis, job: &QueuedJob, at: Millis) -> Option<Vec<Seat>> {
+        let mut offers = Vec::new();
+        for (index, worker) in self.fleet.workers().iter().enumerate() {
+            if !worker.usable() {
+                continue;
+            }
+            let gone = |task: &super::worker::Task| expected_end(now, task.end, task.firm) <= at;
+            let members = worker.members_without(&job.shape, worker.free(), gone);
+            if members == 0 {
+                continue;
+            }
+            let mut free = worker.free();
+            for task in &worker.tasks {
+                if gone(task) {
+                    free |= task.mask & worker.mask & !worker.claimed;
+                }
+            }
+            offers.push(Offer {
+                worker: index,
+                members,
+                free,
+                cost: self.reserve_cost(worker, job, members),
+            });
+        }
+        let offers = place::choose(&self.fleet, &job.shape, offers)?;
+        place::seats(&self.fleet, &job.shape, &offers)
+    }
+
+    fn reserve_cost(&self, worker: &Worker, job: &QueuedJob, members: u64) -> f64 {
+        let mut reclaimable = 0.0;
+        if worker.cells & !worker.firm != 0 {
+            reclaimable = 0.5;
+        }
+        self.cost(worker, job, members) + reclaimable
+    }
+
+    /// Gives up the reservation.
+    pub(super) fn drop_reservation(&mut self) {
+        let Some(held) = self.reservation.take() else {
+            return;
+        };
+        for index in held.workers.into_keys() {
+            self.fleet.set_kept(index, 0, Load::default());
+        }
+        self.order.freed();
+    }
+
+    /// Once its time has come, stops the borrowers that are still on the promised seats.
+    pub(super) fn redeem(&mut self, now: Millis, out: &mut Vec<Decision>) {
+        let Some(held) = self.reservation.as_ref().filter(|held| held.at <= now) else {
+            return;
+        };
+        let (id, seats) = (held.job.clone(), held.seats.clone());
+        self.drop_reservation();
+        let Some(job) = self.jobs.get(&id).map(|entry| entry.job.clone()) else {
+            return;
+        };
+        if !flexible(&job) || !self.order.within_quota(&job) {
+            return;
+        }
+        let claim = Claim { seats, firm: false };
+        if !self.claim(now, &job, claim, &StopReason::Overrun, out) {
+            self.reserve(now, &job);
+        }
+    }
+}
+
+fn expected_end(now: Millis, end: Millis, firm: bool) -> Millis {
+    if firm && end <= now {
+        return now + OVERRUN_GUESS;
+    }
+    end.max(now)
+}
--- a/src/plan/scheduler.rs
+++ b/src/plan/scheduler.rs
@@ -1,48 +1,90 @@
-//! The product's policy.
+//! The product's policy: its state and what events do to it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::book::{Claim, Entry, Held, Stage, flexible};
+use super::cells::Cells;
 use super::fleet::Fleet;
-use super::place::{self, Offer};
-use super::{Decision, Event, Policy, QueuedJob, RunningJob, Weights};
-use crate::job::Seat;
-use crate::name::{JobId, PoolName, TeamName};
-use crate::team::Team;
+use super::guarantee::{self, Shortfall};
+use super::health::{Health, Site};
+use super::order::Order;
+use super::reserve::Reservation;
+use super::worker::Task;
+use super::{Decision, EndKind, Estimates, Event, QueuedJob, RunningJob, Weights, WorkerSpec, cell, pack};
+use crate::job::{Seat, Shape};
+use crate::name::{JobId, PoolName, TeamName, WorkerName};
+use crate::team::{Level, Team};
 use crate::time::Millis;
 
-/// Seats of a job.
-#[derive(Debug, Clone)]
-struct Held {
-    seats: Vec<Seat>,
-}
+/// A worker that refused a placement gets nothing new for this time, so that a refusal does not repeat at once.
+const REFUSAL_PAUSE: Millis = Millis::from_secs(2);
+/// A job whose placement was not carried out waits this long.
+const UNPLACED_PAUSE: Millis = Millis(200);
+/// Most workers in quarantine, as a divisor of the fleet; beyond that the fault is unlikely to lie with the workers.
+const QUARANTINE_DIVISOR: usize = 10;
 
-#[derive(Debug, Clone)]
-struct Entry {
-    job: QueuedJob,
-    held: Option<Held>,
+/// One guaranteed set and the accelerators set aside for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reserved {
+    /// The team.
+    pub team: TeamName,
+    /// How adjacent its accelerators are.
+    pub level: Level,
+    /// Number of accelerators.
+    pub size: u32,
+    /// Its place.
+    pub seats: Vec<Seat>,
 }
 
 /// Decides for one pool.
 #[derive(Debug)]
 pub struct Scheduler {
-    pool: PoolName,
-    weights: Weights,
-    fleet: Fleet,
-    teams: BTreeMap<TeamName, Team>,
-    jobs: BTreeMap<JobId, Entry>,
-    waiting: BTreeSet<(Millis, JobId)>,
+    pub(super) pool: PoolName,
+    pub(super) weights: Weights,
+    pub(super) fleet: Fleet,
+    pub(super) cells: Cells,
+    pub(super) order: Order,
+    pub(super) jobs: BTreeMap<JobId, Entry>,
+    pub(super) claims: BTreeSet<JobId>,
+    pub(super) reservation: Option<Reservation>,
+    pub(super) estimates: Estimates,
+    pub(super) health: Health,
+    pub(super) outbox: Vec<Decision>,
+    pub(super) retries: BTreeSet<Millis>,
+    pub(super) shapes: BTreeMap<Shape, bool>,
+    pub(super) uncovered: BTreeSet<JobId>,
+    pub(super) unsettled: bool,
+    pub(super) joined: Millis,
+    pub(super) version: u64,
+    pub(super) more: bool,
+    pub(super) sought: Millis,
+    pub(super) last: Millis,
 }
 
 impl Scheduler {
-    /// Starts empty.
+    /// Starts without workers, teams or jobs.
     pub fn new(pool: PoolName, weights: Weights) -> Self {
         Self {
             pool,
             weights,
             fleet: Fleet::default(),
-            teams: BTreeMap::new(),
+            cells: Cells::default(),
+            order: Order::default(),
             jobs: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            claims: BTreeSet::new(),
+            reservation: None,
+            estimates: Estimates::default(),
+            health: Health::default(),
+            outbox: Vec::new(),
+            retries: BTreeSet::new(),
+            shapes: BTreeMap::new(),
+            uncovered: BTreeSet::new(),
+            unsettled: false,
+            joined: Millis::ZERO,
+            version: 0,
+            more: false,
+            sought: Millis::ZERO,
+            last: Millis::ZERO,
         }
     }
 
@@ -51,121 +93,409 @@
         &self.pool
     }
 
+    /// Guarantees that cannot be claimed in full now, since capacity was lost.
+    pub fn at_risk(&self) -> Vec<Shortfall> {
+        guarantee::shortfalls(&self.cells, &self.fleet, &self.pool)
+    }
+
+    /// Where each guaranteed set lies now.
+    pub fn reserved(&self) -> Vec<Reserved> {
+        let mut all = Vec::new();
+        for cell in self.cells.all() {
+            let mut seats = Vec::new();
+            for piece in &cell.pieces {
+                seats.push(Seat {
+                    worker: self.fleet.worker(piece.worker).spec.name.clone(),
+                    accelerators: cell::indices(piece.mask),
+                });
+            }
+            all.push(Reserved {
+                team: cell.team.clone(),
+                level: cell.level,
+                size: cell.size,
+                seats,
+            });
+        }
+        all
+    }
+
+    /// What was learned about run times and speeds.
+    pub fn estimates(&self) -> &Estimates {
+        &self.estimates
+    }
+
+    /// The job that has a reservation, and the time at which its seats are expected to be free.
+    pub fn reservation(&self) -> Option<(&JobId, Millis)> {
+        self.reservation.as_ref().map(|held| (&held.job, held.at))
+    }
+
+    pub(super) fn take_in(&mut self, now: Millis, event: Event) {
+        match event {
+            Event::Teams(teams) => self.set_teams(&teams),
+            Event::WorkerUp(spec) => self.worker_up(now, spec),
+            Event::WorkerLeaving(name) => self.worker_leaving(&name),
+            Event::WorkerDown(name) => self.worker_down(now, &name),
+            Event::Queued(job) => self.queue(job),
+            Event::Recovered(running) => self.recover(running),
+            Event::Started { job } => self.start(now, &job),
+            Event::Usage { .. } => {}
+            Event::Unplaced { job, worker } => self.unplace(now, &job, worker.as_ref()),
+            Event::Ended { job, kind, worker } => self.end(now, &job, kind, worker.as_ref()),
+            Event::Withdrawn(job) => self.withdraw(&job),
+        }
+    }
+
+    fn set_teams(&mut self, teams: &BTreeMap<TeamName, Team>) {
+        self.order.set_teams(teams);
+        pack::reconcile(&mut self.cells, &mut self.fleet, &self.pool, teams);
+        for (id, entry) in &self.jobs {
+            if entry.held().is_some_and(|held| held.firm) {
+                self.uncovered.insert(id.clone());
+            }
+        }
+        for id in self.claims.clone() {
+            self.drop_claim(&id);
+        }
+        self.unsettled = true;
+    }
+
+    fn worker_up(&mut self, now: Millis, spec: WorkerSpec) {
+        let speed = self.estimates.speed(&spec.name);
+        let version = self.fleet.version;
+        let index = self.fleet.join(spec);
+        self.fleet.set_speed(index, speed);
+        if self.fleet.version != version {
+            self.joined = now;
+        }
+        self.disturb(index);
+        self.order.freed();
+    }
+
+    fn worker_leaving(&mut self, name: &WorkerName) {
+        let index = self.fleet.enter(name);
+        self.fleet.update(index, |worker| worker.leaving = true);
+        self.disturb(index);
+    }
+
+    fn worker_down(&mut self, now: Millis, name: &WorkerName) {
+        let index = self.fleet.enter(name);
+        self.fleet.update(index, |worker| {
+            worker.up = false;
+            worker.lost = now;
+        });
+        let site = self.site(index);
+        self.health.lost(now, &site);
+        self.disturb(index);
+    }
+
+    /// Has everything looked at again that relied on a worker.
+    pub(super) fn disturb(&mut self, index: usize) {
+        let touched = self.cells.on(index).to_vec();
+        self.cells.bad.extend(touched);
+        let worker = self.fleet.worker(index);
+        let name = &worker.spec.name;
+        let mut broken = Vec::new();
+        for id in &self.claims {
+            if let Stage::Claiming(claim) = &self.jobs[id].stage
+                && !worker.usable()
+                && claim.seats.iter().any(|seat| seat.worker == *name)
+            {
+                broken.push(id.clone());
+            }
+        }
+        for id in broken {
+            self.drop_claim(&id);
+        }
+        if self.reservation.as_ref().is_some_and(|held| held.uses(index)) {
+            self.drop_reservation();
+        }
+        self.unsettled = true;
+    }
+
+    pub(super) fn site(&self, index: usize) -> Site {
+        let spec = &self.fleet.worker(index).spec;
+        Site {
+            worker: spec.name.clone(),
+            rack: spec.rack.clone(),
+            domain: spec.domain.clone(),
+        }
+    }
+
     fn queue(&mut self, job: QueuedJob) {
         if self.jobs.contains_key(&job.id) {
             return;
         }
-        self.waiting.insert((job.since, job.id.clone()));
-        self.jobs.insert(job.id.clone(), Entry { job, held: None });
+        if let Some(reason) = self.health.hopeless(&job.id) {
+            self.health.forget(&job.id);
+            let failed = true;
+            self.outbox.push(Decision::Reject {
+                job: job.id,
+                reason,
+                failed,
+            });
+            return;
+        }
+        self.order.push(&job);
+        self.jobs.insert(job.id.clone(), Entry::new(job));
     }
 
     fn recover(&mut self, running: RunningJob) {
-        let RunningJob {
-            job, seats, guaranteed, ..
-        } = running;
-        self.drop_job(&job.id);
-        self.fleet.hold(&job.id, &job.shape, &seats, guaranteed);
-        let held = Some(Held { seats });
-        self.jobs.insert(job.id.clone(), Entry { job, held });
+        self.drop_job(&running.job.id);
+        let id = running.job.id.clone();
+        if running.guaranteed {
+            self.uncovered.insert(id.clone());
+        }
+        self.unsettled = true;
+        self.jobs.insert(id.clone(), Entry::new(running.job));
+        self.hold(running.started, &id, &running.seats, running.guaranteed);
+        if let Some(entry) = self.jobs.get_mut(&id)
+            && let Stage::Holding(held) = &mut entry.stage
+        {
+            held.started = Some(running.started);
+        }
     }
 
-    fn free(&mut self, id: &JobId) {
+    /// Records that a job holds seats.
+    pub(super) fn hold(&mut self, now: Millis, id: &JobId, seats: &[Seat], firm: bool) {
+        let job = self.jobs[id].job.clone();
+        let bound = self.estimates.bound(&job.team, &job.kind, job.declared);
+        for seat in seats {
+            let task = Task {
+                job: job.id.clone(),
+                team: job.team.clone(),
+                mask: cell::mask(&seat.accelerators),
+                firm,
+                shape: job.shape,
+                checkpoints: job.checkpoints,
+                started: now,
+                end: now + bound,
+                stopping: false,
+            };
+            self.fleet.hold(&seat.worker, task);
+        }
+        self.order.charge(&job);
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.stage = Stage::Holding(Held {
+                seats: seats.to_vec(),
+                firm,
+                started: None,
+            });
+        }
+    }
+
+    fn start(&mut self, now: Millis, id: &JobId) {
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
-        if let Some(held) = entry.held.take() {
-            self.fleet.release(id, &entry.job.shape, &held.seats);
+        let job = &entry.job;
+        let bound = self.estimates.bound(&job.team, &job.kind, job.declared);
+        let Stage::Holding(held) = &mut entry.stage else {
+            return;
+        };
+        held.started = Some(now);
+        let mut slowest = f64::MAX;
+        for seat in &held.seats {
+            slowest = slowest.min(self.estimates.speed(&seat.worker));
         }
+        let end = now + Millis((bound.0 as f64 / slowest.max(0.1)) as u64);
+        self.fleet.change(id, &held.seats, |task| {
+            task.started = now;
+            task.end = end;
+        });
     }
 
-    fn drop_job(&mut self, id: &JobId) {
-        self.free(id);
-        if let Some(entry) = self.jobs.remove(id) {
-            self.waiting.remove(&(entry.job.since, entry.job.id));
+    /// Frees a job's seats or claim; it stays known.
+    pub(super) fn free(&mut self, id: &JobId) {
+        self.drop_claim(id);
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Stage::Holding(held) = std::mem::replace(&mut entry.stage, Stage::Waiting) else {
+            return;
+        };
+        self.fleet.release(id, &held.seats);
+        self.order.refund(&entry.job);
+        self.order.freed();
+        self.uncovered.remove(id);
+        if held.firm && !self.cells.bad.is_empty() {
+            self.unsettled = true;
         }
     }
 
-    fn unplace(&mut self, id: &JobId) {
+    /// Gives up a claim; the job waits again.
+    pub(super) fn drop_claim(&mut self, id: &JobId) {
+        if !self.claims.remove(id) {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Stage::Claiming(Claim { seats, .. }) = std::mem::replace(&mut entry.stage, Stage::Waiting) else {
+            return;
+        };
+        let shape = entry.job.shape;
+        for seat in &seats {
+            let index = self.fleet.enter(&seat.worker);
+            let mask = cell::mask(&seat.accelerators);
+            self.fleet.update(index, |worker| worker.unclaim(&shape, mask));
+        }
+        self.order.refund(&entry.job);
+        self.order.push(&entry.job);
+        self.order.freed();
+    }
+
+    pub(super) fn drop_job(&mut self, id: &JobId) {
         self.free(id);
-        if let Some(entry) = self.jobs.get(id) {
-            self.waiting.insert((entry.job.since, id.clone()));
+        if self.reservation.as_ref().is_some_and(|held| held.job == *id) {
+            self.drop_reservation();
+        }
+        if let Some(entry) = self.jobs.remove(id) {
+            self.order.remove(&entry.job);
         }
     }
 
-    fn find(&self, job: &QueuedJob) -> Option<Vec<Seat>> {
-        let mut offers = Vec::new();
-        for (index, worker) in self.fleet.with_free(u32::from(job.shape.accelerators)) {
-            let members = worker.members(&job.shape, worker.free());
-            if members == 0 {
-                continue;
-            }
-            let left = f64::from(worker.free().count_ones()) / f64::from(worker.spec.accelerators.max(1));
-            offers.push(Offer {
-                worker: index,
-                members,
-                free: worker.free(),
-                cost: self.weights.fragmentation * left,
-            });
+    fn unplace(&mut self, now: Millis, id: &JobId, worker: Option<&WorkerName>) {
+        if let Some(index) = worker.and_then(|name| self.fleet.index(name)) {
+            let until = now + REFUSAL_PAUSE;
+            self.fleet.update(index, |worker| worker.paused = until);
+            self.retries.insert(until);
         }
-        let offers = place::choose(&self.fleet, &job.shape, offers)?;
-        place::seats(&self.fleet, &job.shape, &offers)
+        if self.jobs.get(id).is_none_or(|entry| entry.held().is_none()) {
+            return;
+        }
+        self.health.unprobed(now, id);
+        self.free(id);
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.pause = now + UNPLACED_PAUSE;
+        self.retries.insert(entry.pause);
+        self.order.push(&entry.job);
     }
-}
 
-impl Policy for Scheduler {
-    fn apply(&mut self, _now: Millis, event: Event) {
-        match event {
-            Event::Teams(teams) => self.teams = teams,
-            Event::WorkerUp(spec) => {
-                self.fleet.join(spec);
+    fn end(&mut self, now: Millis, id: &JobId, kind: EndKind, worker: Option<&WorkerName>) {
+        let Some(entry) = self.jobs.get(id).cloned() else {
+            return;
+        };
+        let worker = worker.and_then(|name| self.fleet.index(name));
+        match kind {
+            EndKind::Completed => self.completed(now, &entry),
+            EndKind::Failed => {
+                if let Some(index) = worker {
+                    self.failed(now, &entry.job, index);
+                }
             }
-            Event::WorkerLeaving(name) => {
-                let index = self.fleet.enter(&name);
-                self.fleet.update(index, |worker| worker.leaving = true);
+            EndKind::Lost => {
+                if let Some(index) = worker {
+                    let site = self.site(index);
+                    self.health.lost(now, &site);
+                }
             }
-            Event::WorkerDown(name) => {
-                let index = self.fleet.enter(&name);
-                self.fleet.update(index, |worker| worker.up = false);
+            EndKind::Cancelled => self.health.forget(id),
+            EndKind::Stopped => {}
+        }
+        self.health.unprobed(now, id);
+        self.drop_job(id);
+    }
+
+    fn completed(&mut self, now: Millis, entry: &Entry) {
+        let Some(held) = entry.held() else {
+            return;
+        };
+        let job = &entry.job;
+        let mut workers = BTreeSet::new();
+        for seat in &held.seats {
+            workers.insert(seat.worker.clone());
+        }
+        let workers = workers.into_iter().collect::<Vec<_>>();
+        // A resumed job ran only its rest, which says nothing about the whole.
+        if let (Some(started), true) = (held.started, job.attempt <= 1) {
+            let took = now.since(started);
+            self.estimates
+                .finished(&job.team, &job.kind, job.declared, took, &workers);
+            for name in &workers {
+                let index = self.fleet.enter(name);
+                self.fleet.set_speed(index, self.estimates.speed(name));
             }
-            Event::Queued(job) => self.queue(job),
-            Event::Recovered(running) => self.recover(running),
-            Event::Started { .. } | Event::Usage { .. } => {}
-            Event::Unplaced { job, .. } => self.unplace(&job),
-            Event::Ended { job, .. } | Event::Withdrawn(job) => self.drop_job(&job),
-        }
-    }
-
-    fn decide(&mut self, _now: Millis) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        for key in self.waiting.clone() {
-            let job = self.jobs[&key.1].job.clone();
-            let Some(seats) = self.find(&job) else {
-                if !self.fleet.workers().is_empty() && !place::possible(&self.fleet, &job.shape) {
-                    self.drop_job(&job.id);
-                    decisions.push(Decision::Reject {
-                        job: job.id,
-                        reason: "no worker, rack or domain of the pool can ever hold this shape".to_owned(),
-                        failed: false,
-                    });
-                }
-                continue;
-            };
-            let guaranteed = !job.checkpoints && !job.idempotent;
-            self.waiting.remove(&key);
-            self.fleet.hold(&job.id, &job.shape, &seats, guaranteed);
-            if let Some(entry) = self.jobs.get_mut(&job.id) {
-                entry.held = Some(Held { seats: seats.clone() });
+        }
+        let family = (job.team.clone(), job.kind.clone());
+        for name in self.health.completed(&job.id, &family, &workers) {
+            let index = self.fleet.enter(&name);
+            self.fleet.update(index, |worker| worker.quarantined = false);
+            self.disturb(index);
+            self.outbox.push(Decision::Reinstate { worker: name });
+        }
+    }
+
+    fn failed(&mut self, now: Millis, job: &QueuedJob, index: usize) {
+        let site = self.site(index);
+        let family = (job.team.clone(), job.kind.clone());
+        let suspect = self.health.failed(now, &job.id, family, &site);
+        let most = (self.fleet.workers().len() / QUARANTINE_DIVISOR).max(1);
+        if !suspect || self.health.quarantined() >= most {
+            return;
+        }
+        self.health.quarantine(now, &site.worker);
+        self.fleet.update(index, |worker| worker.quarantined = true);
+        self.disturb(index);
+        self.outbox.push(Decision::Quarantine {
+            worker: site.worker,
+            reason: "many different jobs that run well elsewhere failed on this machine".to_owned(),
+        });
+    }
+
+    fn withdraw(&mut self, id: &JobId) {
+        let Some(entry) = self.jobs.get(id) else {
+            self.health.forget(id);
+            return;
+        };
+        if entry.held().is_none() {
+            self.health.forget(id);
+            self.drop_job(id);
+        }
+    }
+
+    /// Brings the cells in line with the workers, the teams and the jobs inside guarantees.
+    pub(super) fn settle(&mut self) {
+        if self.fleet.version != self.version {
+            self.version = self.fleet.version;
+            self.shapes.clear();
+            let (mut accelerators, mut cores) = (0, 0);
+            for worker in self.fleet.workers() {
+                accelerators += u64::from(worker.mask.count_ones());
+                cores += u64::from(worker.spec.cores);
             }
-            decisions.push(Decision::Place {
-                job: job.id,
-                seats,
-                guaranteed,
-            });
+            self.order.set_total(accelerators, cores);
+        }
+        if !std::mem::take(&mut self.unsettled) {
+            return;
+        }
+        for id in std::mem::take(&mut self.uncovered) {
+            self.cover(&id);
         }
-        decisions
+        pack::settle(&mut self.cells, &mut self.fleet);
+        self.order.freed();
     }
 
-    fn wake(&self) -> Option<Millis> {
-        None
+    /// Matches a job that was placed inside the guarantee to its team's cells; one that no longer has a place there
+    /// becomes a borrower if it can be stopped.
+    fn cover(&mut self, id: &JobId) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Stage::Holding(held) = &mut entry.stage else {
+            return;
+        };
+        let mut masks = BTreeMap::<usize, u64>::new();
+        for seat in &held.seats {
+            *masks.entry(self.fleet.enter(&seat.worker)).or_default() |= cell::mask(&seat.accelerators);
+        }
+        if pack::cover(&mut self.cells, &mut self.fleet, &entry.job.team, &masks) || !flexible(&entry.job) {
+            return;
+        }
+        held.firm = false;
+        for &index in masks.keys() {
+            self.fleet.update(index, |worker| worker.soften(id));
+        }
     }
 }
--- a/src/plan/worker.rs
+++ b/src/plan/worker.rs
@@ -2,17 +2,84 @@
 
 use super::{WorkerSpec, cell};
 use crate::job::Shape;
-use crate::name::JobId;
+use crate::name::{JobId, TeamName};
+use crate::time::Millis;
 
 /// A member that holds a place.
 #[derive(Debug, Clone)]
 pub(super) struct Task {
     /// Its job.
     pub job: JobId,
+    /// Its job's team.
+    pub team: TeamName,
     /// Its accelerators.
     pub mask: u64,
     /// Whether it lies in its team's guarantee.
     pub firm: bool,
+    /// What the member needs.
+    pub shape: Shape,
+    /// Whether the job can resume.
+    pub checkpoints: bool,
+    /// When the job started, or was placed.
+    pub started: Millis,
+    /// When the job is expected to have ended.
+    pub end: Millis,
+    /// Whether the job has been told to stop.
+    pub stopping: bool,
+}
+
+/// Amounts of everything but accelerators.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Load {
+    /// Cores.
+    pub cores: u64,
+    /// Memory, in megabytes.
+    pub memory: u64,
+    /// Slots.
+    pub slots: u64,
+}
+
+impl Load {
+    pub(super) fn add(&mut self, shape: &Shape) {
+        self.cores += u64::from(shape.cores);
+        self.memory += shape.memory_mb;
+        self.slots += 1;
+    }
+
+    fn subtract(&mut self, shape: &Shape) {
+        self.cores = self.cores.saturating_sub(u64::from(shape.cores));
+        self.memory = self.memory.saturating_sub(shape.memory_mb);
+        self.slots = self.slots.saturating_sub(1);
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            cores: self.cores.saturating_sub(other.cores),
+            memory: self.memory.saturating_sub(other.memory),
+            slots: self.slots.saturating_sub(other.slots),
+        }
+    }
+
+    /// The part that belongs to `some` of `all` accelerators, rounded down.
+    fn share(self, some: u64, all: u64) -> Self {
+        let part = |amount: u64| (amount * some).checked_div(all).unwrap_or(0);
+        Self {
+            cores: part(self.cores),
+            memory: part(self.memory),
+            slots: part(self.slots),
+        }
+    }
+
+    fn members(self, shape: &Shape) -> u64 {
+        let mut room = self.slots;
+        if let Some(fit) = self.cores.checked_div(u64::from(shape.cores)) {
+            room = room.min(fit);
+        }
+        if let Some(fit) = self.memory.checked_div(shape.memory_mb) {
+            room = room.min(fit);
+        }
+        room
+    }
 }
 
 /// A worker and what is taken there.
@@ -30,6 +97,12 @@
     pub leaving: bool,
     /// Whether it is in quarantine.
     pub quarantined: bool,
+    /// When it was lost, if it is not there.
+    pub lost: Millis,
+    /// Gets nothing new before this time, since it refused a placement.
+    pub paused: Millis,
+    /// Estimated speed, relative to the fleet.
+    pub speed: f64,
     /// All accelerators.
     pub mask: u64,
     /// Held accelerators.
@@ -38,12 +111,16 @@
     pub firm: u64,
     /// Accelerators that are being vacated for a claimant.
     pub claimed: u64,
-    /// Cores taken or claimed.
-    pub cores: u64,
-    /// Memory taken or claimed, in megabytes.
-    pub memory: u64,
-    /// Slots taken or claimed.
-    pub slots: u64,
+    /// Accelerators set aside as guaranteed cells.
+    pub cells: u64,
+    /// Accelerators kept for the job that has a reservation.
+    pub kept: u64,
+    /// Everything else that is kept for that job.
+    pub kept_load: Load,
+    /// Taken or claimed.
+    pub load: Load,
+    /// Taken inside guarantees.
+    pub firm_load: Load,
     /// Members that run here.
     pub tasks: Vec<Task>,
 }
@@ -58,12 +135,17 @@
             up: true,
             leaving: false,
             quarantined: false,
+            lost: Millis::ZERO,
+            paused: Millis::ZERO,
+            speed: 1.0,
             held: 0,
             firm: 0,
             claimed: 0,
-            cores: 0,
-            memory: 0,
-            slots: 0,
+            cells: 0,
+            kept: 0,
+            kept_load: Load::default(),
+            load: Load::default(),
+            firm_load: Load::default(),
             tasks: Vec::new(),
         }
     }
@@ -78,70 +160,131 @@
         self.mask & !self.held & !self.claimed
     }
 
-    /// Members of a shape that the cores, memory and slots left over can hold.
-    pub(super) fn room(&self, shape: &Shape) -> u64 {
-        let mut room = u64::from(self.spec.slots).saturating_sub(self.slots);
-        let cores = u64::from(self.spec.cores).saturating_sub(self.cores);
-        if let Some(fit) = cores.checked_div(u64::from(shape.cores)) {
-            room = room.min(fit);
-        }
-        let memory = self.spec.memory_mb.saturating_sub(self.memory);
-        if let Some(fit) = memory.checked_div(shape.memory_mb) {
-            room = room.min(fit);
+    /// Accelerators that can become part of a guaranteed cell.
+    pub(super) fn spare(&self) -> u64 {
+        self.mask & !self.firm & !self.cells
+    }
+
+    /// Cores, memory and slots in all.
+    pub(super) fn total(&self) -> Load {
+        Load {
+            cores: u64::from(self.spec.cores),
+            memory: self.spec.memory_mb,
+            slots: u64::from(self.spec.slots),
         }
-        room
     }
 
     /// Members of a shape that fit now, given the accelerators that may be used.
     pub(super) fn members(&self, shape: &Shape, free: u64) -> u64 {
-        let room = self.room(shape).min(u64::from(shape.members));
-        match u64::from(free.count_ones()).checked_div(u64::from(shape.accelerators)) {
-            Some(fit) => room.min(fit),
-            None => room,
+        fit(self.total().minus(self.load), shape, free)
+    }
+
+    /// Members that fit without what is kept for the job that has a reservation.
+    pub(super) fn spared_members(&self, shape: &Shape, free: u64) -> u64 {
+        let left = self.total().minus(self.load).minus(self.kept_load);
+        fit(left, shape, free & !self.kept)
+    }
+
+    /// Members that fit once these tasks are gone, from the given accelerators.
+    pub(super) fn members_without<F>(&self, shape: &Shape, free: u64, gone: F) -> u64
+    where
+        F: Fn(&Task) -> bool,
+    {
+        let mut load = self.load;
+        let mut free = free;
+        for task in &self.tasks {
+            if gone(task) {
+                load.subtract(&task.shape);
+                free |= task.mask;
+            }
         }
+        fit(self.total().minus(load), shape, free & self.mask & !self.claimed)
+    }
+
+    /// Members that fit when all borrowers here are gone and every other team's unused cell keeps its share of cores,
+    /// memory and slots.
+    pub(super) fn firm_members(&self, shape: &Shape, own: u64, free: u64) -> u64 {
+        let all = u64::from(self.mask.count_ones());
+        let others = u64::from((self.cells & !own & !self.firm).count_ones());
+        let total = self.total();
+        let left = total.minus(total.share(others, all)).minus(self.firm_load);
+        fit(left, shape, free)
+    }
+
+    /// Whether a further cell would find its share of cores, memory and slots.
+    pub(super) fn roomy(&self, size: u32) -> bool {
+        let all = u64::from(self.mask.count_ones());
+        let unused = u64::from((self.cells & !self.firm).count_ones() + size);
+        let share = self.total().share(unused, all);
+        let left = self.total().minus(self.firm_load);
+        share.cores <= left.cores && share.memory <= left.memory && share.slots <= left.slots
     }
 
     /// Members of a shape that fit when nothing runs here.
     pub(super) fn empty_members(&self, shape: &Shape) -> u64 {
-        let bare = Self::new(self.spec.clone(), self.rack, self.domain);
-        bare.members(shape, bare.mask)
+        fit(self.total(), shape, self.mask)
     }
 
-    /// Takes cores, memory and a slot for one member.
-    pub(super) fn take(&mut self, shape: &Shape) {
-        self.cores += u64::from(shape.cores);
-        self.memory += shape.memory_mb;
-        self.slots += 1;
+    /// Sets accelerators, cores, memory and a slot aside for one member of a claimant.
+    pub(super) fn claim(&mut self, shape: &Shape, mask: u64) {
+        self.claimed |= mask;
+        self.load.add(shape);
     }
 
-    /// Gives back cores, memory and the slot of one member.
-    pub(super) fn give(&mut self, shape: &Shape) {
-        self.cores = self.cores.saturating_sub(u64::from(shape.cores));
-        self.memory = self.memory.saturating_sub(shape.memory_mb);
-        self.slots = self.slots.saturating_sub(1);
+    /// Undoes a claim.
+    pub(super) fn unclaim(&mut self, shape: &Shape, mask: u64) {
+        self.claimed &= !mask;
+        self.load.subtract(shape);
     }
 
-    /// Records a member whose cores, memory and slot are taken already.
+    /// Records a member.
     pub(super) fn hold(&mut self, task: Task) {
         self.held |= task.mask;
+        self.load.add(&task.shape);
         if task.firm {
             self.firm |= task.mask;
+            self.firm_load.add(&task.shape);
         }
         self.tasks.push(task);
     }
 
-    /// Forgets all members of a job; says how many there were.
-    pub(super) fn release(&mut self, job: &JobId) -> usize {
-        let before = self.tasks.len();
-        self.tasks.retain(|task| task.job != *job);
+    /// Makes a job's members borrowers.
+    pub(super) fn soften(&mut self, job: &JobId) {
+        for task in &mut self.tasks {
+            if task.job == *job && task.firm {
+                task.firm = false;
+                self.firm &= !task.mask;
+                self.firm_load.subtract(&task.shape);
+            }
+        }
+    }
+
+    /// Forgets all members of a job.
+    pub(super) fn release(&mut self, job: &JobId) {
+        let tasks = std::mem::take(&mut self.tasks);
         self.held = 0;
         self.firm = 0;
-        for task in &self.tasks {
+        for task in tasks {
+            if task.job == *job {
+                self.load.subtract(&task.shape);
+                if task.firm {
+                    self.firm_load.subtract(&task.shape);
+                }
+                continue;
+            }
             self.held |= task.mask;
             if task.firm {
                 self.firm |= task.mask;
             }
+            self.tasks.push(task);
         }
-        before - self.tasks.len()
+    }
+}
+
+fn fit(left: Load, shape: &Shape, free: u64) -> u64 {
+    let room = left.members(shape).min(u64::from(shape.members));
+    match u64::from(free.count_ones()).checked_div(u64::from(shape.accelerators)) {
+        Some(fit) => room.min(fit),
+        None => room,
     }
 }
