Merge two equal match arms of the scheduler

Change: one arm for the three events that the first scheduler ignores. Conclusion: no change of behaviour.

--- a/src/plan/scheduler.rs
+++ b/src/plan/scheduler.rs
@@ -119,7 +119,6 @@
             Event::WorkerUp(spec) => {
                 self.fleet.join(spec);
             }
-            Event::WorkerQuarantined(_) => {}
             Event::WorkerLeaving(name) => {
                 let index = self.fleet.enter(&name);
                 self.fleet.update(index, |worker| worker.leaving = true);
@@ -130,7 +129,7 @@
             }
             Event::Queued(job) => self.queue(job),
             Event::Recovered(running) => self.recover(running),
-            Event::Started { .. } | Event::Usage { .. } => {}
+            Event::Started { .. } | Event::Usage { .. } | Event::WorkerQuarantined(_) => {}
             Event::Unplaced { job, .. } => self.unplace(&job),
             Event::Ended { job, .. } | Event::Withdrawn(job) => self.drop_job(&job),
         }
