Accept, cancel and look up batch jobs

Cause: no controller wrote job rows. Change: accept checks a body against the configuration and the fleet, chooses a pool, and writes the job row and the queue mark in one transaction that also checks the head; cancel ends a waiting job or marks a placed one and renews its queue mark, which its planner looks for; views fetch answers from the object store. Ruled out: checking only the session before the write, since a frozen instance could then store a job under an old configuration; a plain error after a lost answer, since the job may be stored.

--- /dev/null
+++ b/src/accept/mod.rs
@@ -0,0 +1,16 @@
+//! Takes batch jobs, cancels jobs, looks them up.
+//!
+//! A job is accepted only once its row and its mark in the queue are written, in one transaction that also checks that
+//! the configuration it was checked against is still the newest. Digests of the bodies tell a repeat from a conflict.
+
+mod check;
+mod choose;
+mod error;
+mod state;
+mod view;
+
+pub use check::{BODY_BYTES_MAX, check_spec, parse};
+pub use choose::{can_hold, choose_pool, pool_holds};
+pub use error::AcceptError;
+pub use state::Accept;
+pub use view::{StoredJob, read_job, view_job};
--- /dev/null
+++ b/src/accept/view.rs
@@ -0,0 +1,80 @@
+//! Jobs as callers see them.
+
+use serde::Deserialize;
+
+use super::AcceptError;
+use crate::api::{JobState, JobView};
+use crate::job::{Class, JobRow, Phase};
+use crate::name::JobId;
+use crate::platform::{Objects, OpId, Table, Version};
+use crate::row::key;
+
+/// A job's row as read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredJob {
+    /// Its content.
+    pub row: JobRow,
+    /// Its version.
+    pub version: Version,
+    /// Transaction that wrote it.
+    pub op: OpId,
+}
+
+/// Reads a job's row; `None` if there is no such job.
+pub fn read_job(table: &dyn Table, id: &JobId) -> Result<Option<StoredJob>, AcceptError> {
+    let row = table
+        .read(&[key::job(id)])
+        .map_err(AcceptError::Unread)?
+        .into_iter()
+        .next()
+        .flatten();
+    let Some(row) = row else { return Ok(None) };
+    match JobRow::deserialize(&row.value) {
+        Ok(content) => Ok(Some(StoredJob {
+            row: content,
+            version: row.version,
+            op: row.op,
+        })),
+        Err(_) => Err(AcceptError::Format(row.key)),
+    }
+}
+
+/// A job as its row tells, with the answer that lies in the object store.
+pub fn view_job(objects: &dyn Objects, mut row: JobRow) -> Result<JobView, AcceptError> {
+    if let Some(object) = row.stored.clone() {
+        let bytes = objects.get(&object).map_err(AcceptError::Answer)?;
+        row.attach_answer(&bytes)
+            .map_err(|_error| AcceptError::Format(key::job(&row.id)))?;
+    }
+    let mut workers = Vec::new();
+    let mut outcome = None;
+    let state = match row.phase {
+        Phase::Queued => JobState::Queued,
+        Phase::Placed { seats, .. } => {
+            workers.extend(seats.into_iter().map(|seat| seat.worker));
+            JobState::Starting
+        }
+        Phase::Running { seats, .. } => {
+            workers.extend(seats.into_iter().map(|seat| seat.worker));
+            JobState::Running
+        }
+        Phase::Sent { worker, .. } => {
+            workers.push(worker);
+            JobState::Running
+        }
+        Phase::Ended { outcome: ended } => {
+            outcome = Some(ended);
+            JobState::Ended
+        }
+    };
+    let is_cancelling = row.cancel && state != JobState::Ended;
+    Ok(JobView {
+        id: row.id,
+        state: if is_cancelling { JobState::Cancelling } else { state },
+        outcome,
+        attempt: row.attempt,
+        pool: (row.spec.class == Class::Batch).then_some(row.pool),
+        workers,
+        trace: row.trace,
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions come out. Controllers are driven by `step(now)` and reach the outside only through the traits in
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
+pub mod accept;
 pub mod api;
 pub mod job;
 pub mod member;
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! The controllers against the stand-ins, in one thread and in virtual time.
 
+mod accept;
 mod member;
 mod session;
 mod ticket;
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -6,8 +6,9 @@
 use serde_json::{Value, json};
 use standin::fake::{Fault, Link, Platform, Point, Side};
 use standin::worker::Worker;
+use yuccaridge::accept::Accept;
 use yuccaridge::member::Member;
-use yuccaridge::name::{DomainName, InstanceName, RackName, WorkerName};
+use yuccaridge::name::{DomainName, InstanceName, JobId, RackName, WorkerName};
 use yuccaridge::platform::{ListedWorker, Presence, Row, Step, Table};
 use yuccaridge::row::OpIds;
 use yuccaridge::session::Session;
@@ -26,6 +27,7 @@
     pub session: Arc<Session>,
     pub member: Arc<Member>,
     pub tickets: Tickets,
+    pub accept: Accept,
 }
 
 pub fn instance(name: &str) -> InstanceName {
@@ -67,12 +69,20 @@
             Arc::clone(&ops),
             Arc::new(AnyFit),
         );
+        let accept = Accept::new(
+            Arc::clone(&session),
+            Arc::clone(&member),
+            Arc::clone(&table),
+            Arc::clone(&link) as _,
+            Arc::clone(&ops),
+        );
         Node {
             link,
             platform: Arc::clone(&self.platform),
             session,
             member,
             tickets,
+            accept,
         }
     }
 
@@ -86,6 +96,19 @@
         }
     }
 
+    /// A world with two workers, the first ticket in force, and these instances live.
+    pub fn ready<const N: usize>(names: [&str; N]) -> (Self, [Arc<Node>; N]) {
+        let world = Self::new();
+        world.add_worker("w1", 1);
+        world.add_worker("w2", 2);
+        let nodes = names.map(|name| Arc::new(world.node(name, "1")));
+        let all: Vec<_> = nodes.iter().map(Arc::as_ref).collect();
+        world.run(&all, 1000);
+        all[0].tickets.put(world.now(), 1, &bytes(&first_ticket())).unwrap();
+        world.run(&all, 2000);
+        (world, nodes)
+    }
+
     pub fn row(&self, key: &str) -> Option<Row> {
         self.platform.table.read(&[key.to_owned()]).unwrap().remove(0)
     }
@@ -204,3 +227,16 @@
 pub fn bytes(body: &Value) -> Vec<u8> {
     serde_json::to_vec(body).unwrap()
 }
+
+pub fn job_id(id: &str) -> JobId {
+    JobId::new(id).unwrap()
+}
+
+/// A job of the first ticket's team.
+pub fn job(kind: &str, class: &str, change: &Value) -> Value {
+    let mut body = json!({"team": "photos", "kind": kind, "class": class});
+    for (field, value) in change.as_object().unwrap() {
+        body[field] = value.clone();
+    }
+    body
+}
