Wire the controllers into an instance with threads

Cause: the stages have to run as one process. Ruled out: one thread for all, since a slow table would hold up the session's renewal.

--- /dev/null
+++ b/src/instance/daemon.rs
@@ -0,0 +1,217 @@
+//! The threads of one instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+
+use thiserror::Error;
+
+use super::{Answered, Core, Dispatch, Gateway, Parts};
+use crate::api::{Handler, Server, ServerError};
+use crate::config::Config;
+use crate::metric::Metrics;
+use crate::platform::http::{HttpListing, HttpObjects, HttpTable, HttpWorkers, Timeouts};
+use crate::platform::{Limited, Table, TableBudget};
+use crate::time::{Clock, Millis, SystemClock};
+use crate::trace::Tracer;
+
+/// Pause between two steps of a part that has nothing to do.
+const IDLE: Millis = Millis(50);
+/// Time between not being ready and refusing requests, in which the balancer takes the instance out.
+const BALANCER_DELAY: Millis = Millis(1000);
+
+/// Why an instance cannot start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address of the platform cannot be used.
+    #[error("`{0}` is no address of the form http://IP:PORT")]
+    Address(String),
+    /// The server for callers cannot start.
+    #[error(transparent)]
+    Server(#[from] ServerError),
+    /// A thread cannot start, or a signal handler cannot be set.
+    #[error("the system refused a resource: {0}")]
+    System(#[from] std::io::Error),
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Daemon {
+    core: Arc<Core>,
+    gateway: Arc<Gateway>,
+    server: Option<Server>,
+    clock: Arc<dyn Clock>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    drain: Millis,
+}
+
+fn address(base: &str) -> Result<SocketAddr, DaemonError> {
+    base.strip_prefix("http://")
+        .and_then(|rest| rest.trim_end_matches('/').parse().ok())
+        .ok_or_else(|| DaemonError::Address(base.to_owned()))
+}
+
+fn timeouts(config: &Config, read_ms: u64) -> Timeouts {
+    Timeouts {
+        connect: Millis(config.timeouts.connect_ms),
+        read: Millis(read_ms),
+    }
+}
+
+/// A name that no other start of any instance has.
+fn boot() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
+impl Daemon {
+    /// Starts an instance.
+    pub fn start(config: &Config) -> Result<Self, DaemonError> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+        let times = &config.timeouts;
+        let table = HttpTable::new(address(&config.platform.table)?, timeouts(config, times.table_ms));
+        let budget = TableBudget {
+            writes: f64::from(config.budget.writes),
+            reads: f64::from(config.budget.reads),
+        };
+        let table = Arc::new(Limited::new(table, Arc::clone(&clock), budget, 1));
+        let objects = HttpObjects::new(address(&config.platform.objects)?, timeouts(config, times.objects_ms));
+        let listing = HttpListing::new(address(&config.platform.list)?, timeouts(config, times.list_ms));
+        let core = Arc::new(Core::new(Parts {
+            instance: config.instance.clone(),
+            boot: boot(),
+            peer: config.peer,
+            domain: config.domain.clone(),
+            weights: config.weights,
+            table: Arc::clone(&table) as Arc<dyn Table>,
+            objects: Arc::new(objects),
+            listing: Arc::new(listing),
+            workers: Arc::new(HttpWorkers::new(timeouts(config, times.worker_ms))),
+        }));
+        let gateway = Arc::new(Gateway::new(Arc::clone(&core), Arc::clone(&clock)));
+        let handler: Arc<dyn Handler> = Arc::clone(&gateway) as Arc<dyn Handler>;
+        let server = Server::start(
+            config.listen,
+            config.limits,
+            handler,
+            Arc::new(Metrics::new()),
+            Tracer::new(config.trace),
+        )?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut daemon = Self {
+            core,
+            gateway,
+            server: Some(server),
+            clock,
+            stop,
+            threads: Vec::new(),
+            drain: config.drain,
+        };
+        daemon.spawn("session", Core::heartbeat)?;
+        daemon.spawn("member", move |core, now| {
+            core.watch(now);
+            table.set_instances(core.member.live(now).len());
+        })?;
+        daemon.spawn("ticket", Core::finish)?;
+        daemon.spawn_planner()?;
+        Ok(daemon)
+    }
+
+    fn spawn<F>(&mut self, name: &str, mut f: F) -> Result<(), DaemonError>
+    where
+        F: FnMut(&Core, Millis) + Send + 'static,
+    {
+        let (core, clock, stop) = (Arc::clone(&self.core), Arc::clone(&self.clock), Arc::clone(&self.stop));
+        let work = move || {
+            while !stop.load(Ordering::Relaxed) {
+                f(&core, clock.now());
+                thread::sleep(IDLE.duration());
+            }
+        };
+        self.threads
+            .push(thread::Builder::new().name(name.to_owned()).spawn(work)?);
+        Ok(())
+    }
+
+    fn spawn_planner(&mut self) -> Result<(), DaemonError> {
+        let (answers, inbox) = flume::unbounded::<Answered>();
+        let dispatch = Dispatch::start(&self.core.workers, &answers)?;
+        let (core, clock, stop) = (Arc::clone(&self.core), Arc::clone(&self.clock), Arc::clone(&self.stop));
+        let work = move || {
+            while !stop.load(Ordering::Relaxed) {
+                for request in core.plan(clock.now()) {
+                    dispatch.send(request);
+                }
+                if let Ok((asked, result)) = inbox.recv_timeout(IDLE.duration()) {
+                    core.pools.answered(clock.now(), &asked, result);
+                }
+                for (asked, result) in inbox.try_iter() {
+                    core.pools.answered(clock.now(), &asked, result);
+                }
+            }
+            dispatch.stop();
+        };
+        self.threads
+            .push(thread::Builder::new().name("planner".to_owned()).spawn(work)?);
+        Ok(())
+    }
+
+    /// Address that callers use.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.server.as_ref().map(Server::address)
+    }
+
+    /// Shuts down without cutting off a request: not ready, hand over pools, refuse new requests, finish those in
+    /// flight, give up the session.
+    pub fn drain(mut self) {
+        log::info!("draining");
+        let start = self.clock.now();
+        self.gateway.set_draining();
+        self.core.session.set_draining();
+        while self.clock.now().since(start) < BALANCER_DELAY
+            || (self.core.pools.count() > 0 && self.clock.now().since(start) < self.drain)
+        {
+            thread::sleep(IDLE.duration());
+        }
+        if let Some(server) = self.server.take() {
+            let left = self.drain.since(self.clock.now().since(start));
+            let drained = server.stop(left);
+            log::info!("requests in flight: {drained:?}");
+        }
+        self.halt();
+        if let Err(error) = self.core.session.leave(self.clock.now()) {
+            log::warn!("the session was not given up and will lapse: {error}");
+        }
+        log::info!("drained");
+    }
+
+    /// Stops at once and tells nobody, as a crash would.
+    pub fn abort(mut self) {
+        self.halt();
+    }
+
+    fn halt(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread panicked");
+            }
+        }
+    }
+}
+
+/// Runs an instance until SIGTERM or SIGINT, then drains it.
+pub fn run(config: &Config) -> Result<(), DaemonError> {
+    let term = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, Arc::clone(&term))?;
+    }
+    let daemon = Daemon::start(config)?;
+    log::info!("instance {} serves at {}", config.instance, config.listen);
+    while !term.load(Ordering::Relaxed) {
+        thread::sleep(IDLE.duration());
+    }
+    daemon.drain();
+    Ok(())
+}
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,9 +1,24 @@
 //! One instance: everything that it runs, wired together.
+//!
+//! [`Core`] holds the controllers without threads, sockets or a clock; tests step it in virtual time. [`Daemon`] gives
+//! each part of it a thread, so that a slow table or worker cannot hold up the session's renewal.
 
+mod core;
+mod daemon;
+mod dispatch;
+mod fit;
+mod gateway;
+mod hint;
 mod outage;
 mod pools;
 mod waiters;
 
+pub use self::core::{Core, Parts};
+pub use daemon::{Daemon, DaemonError, run};
+pub use dispatch::{Answered, Dispatch};
+pub use fit::FleetFit;
+pub use gateway::Gateway;
+pub use hint::Hint;
 pub use outage::Outage;
 pub use pools::{PoolProgress, PoolRequest, Pools};
 pub use waiters::Waiters;
--- a/src/plan/policy.rs
+++ b/src/plan/policy.rs
@@ -1,10 +1,12 @@
 //! Interface of a policy.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
 use super::{Decision, Event};
+use crate::name::TeamName;
 use crate::time::Millis;
 
 /// What counts, relative to each other.
@@ -34,6 +36,11 @@
     /// What to do now; decisions count as carried out until an event says otherwise.
     fn decide(&mut self, now: Millis) -> Vec<Decision>;
 
+    /// Guarantees that the capacity left cannot hold now, in a sentence for each team.
+    fn at_risk(&self) -> BTreeMap<TeamName, String> {
+        BTreeMap::new()
+    }
+
     /// Earliest time at which `decide` may want something without a further event.
     fn wake(&self) -> Option<Millis>;
 }
--- a/src/planner/controller.rs
+++ b/src/planner/controller.rs
@@ -11,7 +11,7 @@
 use super::ledger::{Committed, Ledger};
 use super::request::Request;
 use crate::job::{JobRow, NotRunReason, Phase};
-use crate::name::{JobId, PoolName, WorkerName};
+use crate::name::{JobId, PoolName, TeamName, WorkerName};
 use crate::plan::{Decision, EndKind, Event, Policy, RunningJob};
 use crate::platform::{ListedWorker, Step, Version};
 use crate::team::Catalog;
@@ -122,6 +122,11 @@
             .collect()
     }
 
+    /// Guarantees that the capacity left cannot hold now, in a sentence for each team.
+    pub fn at_risk(&self) -> BTreeMap<TeamName, String> {
+        self.policy.at_risk()
+    }
+
     /// Earliest time at which a step may be needed without a further event.
     pub fn wake_at(&self) -> Option<Millis> {
         self.policy.wake()
