Test the guarantee invariant through random sequences

Cause: nothing showed that unused sets keep a place. Change: a world that carries out and checks each decision, a certificate check, an exact search for small fleets, a policy that counts only; a cell without a place is no longer swapped into another's place. Ruled out: arbtest's time budget, since runs would differ between machines.

--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -250,6 +250,7 @@
                 best = Some((cost, to));
             }
         };
+        let whole = self.cells.sound(&self.fleet, index);
         if let [piece] = self.cells.cell(index).pieces[..] {
             let worker = self.fleet.worker(piece.worker);
             if worker.usable() {
@@ -262,7 +263,7 @@
                 let cell = self.cells.cell(other);
                 let equal = cell.size == size && cell.level == Level::Worker && other != index;
                 let [piece] = cell.pieces[..] else { continue };
-                if equal && !self.cells.used(&self.fleet, other) {
+                if equal && whole && !self.cells.used(&self.fleet, other) {
                     offer(cost(worker, piece.mask), Move::Swap(other));
                 }
             }
--- /dev/null
+++ b/tests/plan/attribution.rs
@@ -0,0 +1,1 @@
+//! attribution
--- /dev/null
+++ b/tests/plan/exact.rs
@@ -0,0 +1,90 @@
+//! Exact search over all assignments of worker-level sets; the measure for the invariant on small fleets.
+
+use std::collections::BTreeMap;
+
+use yuccaridge::name::{TeamName, WorkerName};
+
+use super::world::World;
+
+/// One set: the team's number and the size.
+type Set = (usize, u32);
+
+#[derive(Debug)]
+struct Search {
+    sets: Vec<Set>,
+    room: Vec<u32>,
+    /// Accelerators that each team's jobs hold inside the guarantee, by worker.
+    held: Vec<Vec<u32>>,
+    given: Vec<Vec<u32>>,
+}
+
+impl Search {
+    fn covered(&self) -> bool {
+        for (held, given) in self.held.iter().zip(&self.given) {
+            if held.iter().zip(given).any(|(held, given)| held > given) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn fits(&mut self, next: usize) -> bool {
+        let Some(&(team, size)) = self.sets.get(next) else {
+            return self.covered();
+        };
+        for worker in 0..self.room.len() {
+            if self.room[worker] < size {
+                continue;
+            }
+            self.room[worker] -= size;
+            self.given[team][worker] += size;
+            if self.fits(next + 1) {
+                return true;
+            }
+            self.room[worker] += size;
+            self.given[team][worker] -= size;
+        }
+        false
+    }
+}
+
+/// Whether all sets fit at once with each guaranteed job inside its own team's sets.
+pub fn holds<P>(world: &World<P>) -> bool {
+    let mut workers = BTreeMap::<&WorkerName, usize>::new();
+    let mut room = Vec::new();
+    for (name, spec) in &world.workers {
+        if !world.closed.contains(name) {
+            workers.insert(name, room.len());
+            room.push(u32::from(spec.accelerators));
+        }
+    }
+    let names = world.teams.keys().collect::<Vec<&TeamName>>();
+    let mut sets = Vec::new();
+    for (index, team) in world.teams.values().enumerate() {
+        for guarantee in &team.guarantees {
+            for _ in 0..guarantee.count {
+                sets.push((index, u32::from(guarantee.accelerators)));
+            }
+        }
+    }
+    sets.sort_by_key(|&(_, size)| std::cmp::Reverse(size));
+    let mut held = vec![vec![0; room.len()]; names.len()];
+    for running in world.running.values().filter(|running| running.guaranteed) {
+        let Some(team) = names.iter().position(|name| **name == running.job.team) else {
+            continue;
+        };
+        for seat in &running.seats {
+            if let Some(&worker) = workers.get(&seat.worker) {
+                held[team][worker] += seat.accelerators.len() as u32;
+            }
+        }
+    }
+    let given = vec![vec![0; room.len()]; names.len()];
+    Search {
+        sets,
+        room,
+        held,
+        given,
+    }
+    .fits(0)
+}
--- /dev/null
+++ b/tests/plan/guarantee.rs
@@ -0,0 +1,1 @@
+//! guarantee
--- /dev/null
+++ b/tests/plan/invariant.rs
@@ -0,0 +1,342 @@
+//! The guarantee invariant through random sequences.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbtest::arbitrary::{Result, Unstructured};
+use yuccaridge::job::{Adjacency, Seat};
+use yuccaridge::name::JobId;
+use yuccaridge::plan::{Decision, EndKind, Event, Policy, QueuedJob, Scheduler, WorkerSpec, fit_guarantees};
+use yuccaridge::team::{Level, Team};
+use yuccaridge::time::Millis;
+
+use super::exact;
+use super::world::{World, guarantee, job, pool, scheduler, team, team_name, worker};
+
+/// Fixed seeds, each with the size of its input in the lower half; a run is the same on every machine.
+fn seeds() -> impl Iterator<Item = u64> {
+    (1..=60).map(|seed| ((seed * 7919) << 32) | 4096)
+}
+
+const SIZES: [u16; 6] = [4, 2, 4, 8, 0, 3];
+
+fn fleet() -> Vec<WorkerSpec> {
+    let mut all = Vec::new();
+    for (index, size) in SIZES.into_iter().enumerate() {
+        all.push(worker(&format!("w{index}"), &format!("r{}", index / 2), size));
+    }
+    all
+}
+
+fn random_teams(u: &mut Unstructured<'_>, racks: bool) -> Result<BTreeMap<yuccaridge::name::TeamName, Team>> {
+    let mut teams = BTreeMap::new();
+    for name in ["a", "b", "c"] {
+        let mut guarantees = Vec::new();
+        for _ in 0..u.int_in_range(0..=2)? {
+            let level = if racks && u.ratio(1, 3)? {
+                Level::Rack
+            } else {
+                Level::Worker
+            };
+            let size = *u.choose(&[1, 2, 2, 3, 4])?;
+            guarantees.push(guarantee(level, size, u.int_in_range(1..=2)?));
+        }
+        teams.insert(team_name(name), team(guarantees));
+    }
+    Ok(teams)
+}
+
+fn random_job(u: &mut Unstructured<'_>, number: usize) -> Result<QueuedJob> {
+    let team = *u.choose(&["a", "b", "c"])?;
+    let mut job = job(&format!("j{number}"), team, *u.choose(&[0, 1, 1, 2, 2, 3, 4])?);
+    job.shape.members = *u.choose(&[1, 1, 1, 2, 3])?;
+    job.shape.cores = u.int_in_range(0..=9)?;
+    job.shape.adjacent = *u.choose(&[Adjacency::Worker, Adjacency::Rack, Adjacency::Any])?;
+    job.urgent = u.ratio(1, 3)?;
+    job.checkpoints = u.ratio(1, 2)?;
+    job.idempotent = u.ratio(2, 3)?;
+    Ok(job)
+}
+
+fn pick(u: &mut Unstructured<'_>, world: &World<impl Policy>) -> Result<Option<JobId>> {
+    let ids = world.running.keys().cloned().collect::<Vec<_>>();
+    if ids.is_empty() {
+        return Ok(None);
+    }
+    Ok(Some(u.choose(&ids)?.clone()))
+}
+
+/// One random event; says whether it took capacity or changed guarantees.
+fn disturb<P>(u: &mut Unstructured<'_>, world: &mut World<P>, number: usize, racks: bool) -> Result<bool>
+where
+    P: Policy,
+{
+    match u.int_in_range(0..=19)? {
+        0..=8 => world.submit(random_job(u, number)?),
+        9..=12 => {
+            if let Some(id) = pick(u, world)? {
+                let running = &world.running[&id];
+                if running.stopping {
+                    world.stopped(&id);
+                } else {
+                    let kind = *u.choose(&[EndKind::Completed, EndKind::Failed, EndKind::Cancelled])?;
+                    let worker = running.seats[0].worker.clone();
+                    world.end(&id, kind, Some(worker));
+                }
+            }
+        }
+        13..=15 => {
+            let stopping = world.running.iter().find(|(_, running)| running.stopping);
+            if let Some(id) = stopping.map(|(id, _)| id.clone()) {
+                world.stopped(&id);
+            }
+        }
+        16 => {
+            if let Some(id) = world.waiting.keys().next().cloned() {
+                world.waiting.remove(&id);
+                world.apply(Event::Withdrawn(id));
+            }
+        }
+        17 => world.pass(u.int_in_range(1..=400)?),
+        18 => return churn(u, world),
+        _ => {
+            let teams = random_teams(u, racks)?;
+            let mut open = world.workers.clone();
+            open.retain(|name, _| !world.closed.contains(name));
+            if fit_guarantees(&open, &pool(), &teams).is_ok() {
+                world.set_teams(teams);
+                return Ok(true);
+            }
+        }
+    }
+    Ok(false)
+}
+
+fn churn<P>(u: &mut Unstructured<'_>, world: &mut World<P>) -> Result<bool>
+where
+    P: Policy,
+{
+    let spec = u.choose(&fleet())?.clone();
+    if !world.workers.contains_key(&spec.name) || world.closed.contains(&spec.name) {
+        world.join(spec);
+        return Ok(false);
+    }
+    if u.ratio(1, 2)? {
+        world.lose(&spec.name);
+    } else {
+        world.closed.insert(spec.name.clone());
+        world.apply(Event::WorkerLeaving(spec.name));
+    }
+    Ok(true)
+}
+
+/// The places that the scheduler names for the guaranteed sets must be real, disjoint, whole, and contain every job that
+/// it placed inside a guarantee.
+fn check_places(world: &World<Scheduler>) {
+    let mut owners = BTreeMap::new();
+    for set in world.policy.reserved() {
+        let mut near = BTreeSet::new();
+        let mut count = 0;
+        for seat in &set.seats {
+            let unusable = world.closed.contains(&seat.worker) || world.quarantined.contains(&seat.worker);
+            assert!(!unusable, "a set lies on a worker that gets nothing new");
+            let spec = &world.workers[&seat.worker];
+            near.insert(match set.level {
+                Level::Worker => spec.name.to_string(),
+                Level::Rack => spec.rack.to_string(),
+            });
+            for index in &seat.accelerators {
+                assert!(*index < spec.accelerators);
+                let before = owners.insert((seat.worker.clone(), *index), set.team.clone());
+                assert_eq!(before, None, "two sets overlap on {}/{index}", seat.worker);
+                count += 1;
+            }
+        }
+        assert_eq!((near.len(), count), (1, set.size), "a set is not whole");
+    }
+    for (id, running) in &world.running {
+        for seat in &running.seats {
+            for index in &seat.accelerators {
+                let owner = owners.get(&(seat.worker.clone(), *index));
+                let own = owner == Some(&running.job.team);
+                assert!(!running.guaranteed || own, "{id} is guaranteed outside its team's sets");
+            }
+        }
+    }
+}
+
+/// After a ticket, jobs that no longer lie in their team's sets count as borrowers.
+fn relax(world: &mut World<Scheduler>) {
+    if !std::mem::take(&mut world.ticketed) {
+        return;
+    }
+    let mut owned = BTreeSet::new();
+    for set in world.policy.reserved() {
+        for seat in set.seats {
+            for index in seat.accelerators {
+                owned.insert((set.team.clone(), seat.worker.clone(), index));
+            }
+        }
+    }
+    for running in world.running.values_mut() {
+        for seat in &running.seats {
+            for index in &seat.accelerators {
+                let inside = owned.contains(&(running.job.team.clone(), seat.worker.clone(), *index));
+                running.guaranteed &= inside;
+            }
+        }
+    }
+}
+
+#[test]
+/// Guards against a guarantee that cannot be claimed, after any sequence of events that takes no capacity away.
+fn sets_always_have_a_place() {
+    for seed in seeds() {
+        arbtest::arbtest(|u| {
+            let mut world = World::new(scheduler(), &fleet(), &[]);
+            let mut disturbed = false;
+            for number in 0..160 {
+                disturbed |= disturb(u, &mut world, number, true)?;
+                world.decide();
+                relax(&mut world);
+                if world.policy.at_risk().is_empty() {
+                    disturbed = false;
+                    check_places(&world);
+                } else {
+                    let lost = disturbed || !world.quarantined.is_empty();
+                    assert!(lost, "at risk without a loss: {:?}", world.policy.at_risk());
+                }
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+/// Runs without tickets and losses, and counts the steps after which the exact search finds no room.
+fn violations<P, F>(make: F) -> usize
+where
+    P: Policy,
+    F: Fn() -> P,
+{
+    let mut broken = 0;
+    for seed in seeds() {
+        arbtest::arbtest(|u| {
+            let mut world = World::new(make(), &fleet(), &[]);
+            let mut open = world.workers.clone();
+            open.retain(|name, _| !world.closed.contains(name));
+            let teams = random_teams(u, false)?;
+            if fit_guarantees(&open, &pool(), &teams).is_err() {
+                return Ok(());
+            }
+            world.set_teams(teams);
+            for number in 0..120 {
+                let mut job = random_job(u, number)?;
+                job.shape.accelerators = job.shape.accelerators.max(1);
+                world.submit(job);
+                if let Some(id) = pick(u, &world)?
+                    && u.ratio(1, 3)?
+                {
+                    if world.running[&id].stopping {
+                        world.stopped(&id);
+                    } else {
+                        world.end(&id, EndKind::Completed, None);
+                    }
+                }
+                world.decide();
+                broken += usize::from(!exact::holds(&world));
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+    broken
+}
+
+#[test]
+/// Guards against a placement after which the exact search finds no room for the unused sets.
+fn exact_search_agrees() {
+    assert_eq!(violations(scheduler), 0);
+}
+
+/// Places inside a guarantee while the plain count of accelerators allows it.
+#[derive(Debug, Default)]
+struct CountOnly {
+    workers: Vec<WorkerSpec>,
+    teams: BTreeMap<yuccaridge::name::TeamName, Team>,
+    waiting: Vec<QueuedJob>,
+    held: BTreeMap<JobId, (QueuedJob, Vec<Seat>)>,
+}
+
+impl CountOnly {
+    fn seats(&self, job: &QueuedJob) -> Option<Vec<Seat>> {
+        let mut seats = Vec::new();
+        for spec in &self.workers {
+            let mut free = (0..spec.accelerators).collect::<BTreeSet<_>>();
+            for (_, held) in self.held.values() {
+                for seat in held.iter().filter(|seat| seat.worker == spec.name) {
+                    free.retain(|index| !seat.accelerators.contains(index));
+                }
+            }
+            let size = usize::from(job.shape.accelerators);
+            let free = free.into_iter().collect::<Vec<_>>();
+            for part in free.chunks_exact(size) {
+                if seats.len() < usize::from(job.shape.members) {
+                    seats.push(Seat {
+                        worker: spec.name.clone(),
+                        accelerators: part.to_vec(),
+                    });
+                }
+            }
+        }
+        (seats.len() == usize::from(job.shape.members)).then_some(seats)
+    }
+}
+
+impl Policy for CountOnly {
+    fn apply(&mut self, _now: Millis, event: Event) {
+        match event {
+            Event::Teams(teams) => self.teams = teams,
+            Event::WorkerUp(spec) => self.workers.push(spec),
+            Event::Queued(job) => self.waiting.push(job),
+            Event::Ended { job, .. } => {
+                self.held.remove(&job);
+            }
+            _ => {}
+        }
+    }
+
+    fn decide(&mut self, _now: Millis) -> Vec<Decision> {
+        let mut out = Vec::new();
+        for job in std::mem::take(&mut self.waiting) {
+            let mut left = 0;
+            for guarantee in self.teams.get(&job.team).map_or(&[][..], |team| &team.guarantees) {
+                left += u32::from(guarantee.accelerators) * u32::from(guarantee.count);
+            }
+            for (held, _) in self.held.values().filter(|(held, _)| held.team == job.team) {
+                left = left.saturating_sub(held.shape.total_accelerators());
+            }
+            let fits = job.shape.adjacent == Adjacency::Any && job.shape.total_accelerators() <= left;
+            let Some(seats) = self.seats(&job).filter(|_| fits) else {
+                self.waiting.push(job);
+                continue;
+            };
+            out.push(Decision::Place {
+                job: job.id.clone(),
+                seats: seats.clone(),
+                guaranteed: true,
+            });
+            self.held.insert(job.id.clone(), (job, seats));
+        }
+        out
+    }
+
+    fn wake(&self) -> Option<Millis> {
+        None
+    }
+}
+
+/// Shows that the exact search catches a policy that checks plain counts.
+#[test]
+fn counts_are_not_enough() {
+    assert!(violations(CountOnly::default) > 0);
+}
--- /dev/null
+++ b/tests/plan/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decision core.
+
+mod attribution;
+mod exact;
+mod guarantee;
+mod invariant;
+mod order;
+mod reclaim;
+mod world;
--- /dev/null
+++ b/tests/plan/reclaim.rs
@@ -0,0 +1,1 @@
+//! reclaim
--- /dev/null
+++ b/tests/plan/world.rs
@@ -0,0 +1,291 @@
+//! A pool in memory that carries out decisions and checks each of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use yuccaridge::job::{Adjacency, Seat, Shape};
+use yuccaridge::name::{DomainName, JobId, KindName, PoolName, RackName, TeamName, WorkerName};
+use yuccaridge::plan::{Decision, EndKind, Event, Policy, QueuedJob, Scheduler, Weights, WorkerSpec};
+use yuccaridge::team::{Guarantee, Level, Team};
+use yuccaridge::time::Millis;
+
+pub fn pool() -> PoolName {
+    PoolName::new("p").unwrap()
+}
+
+pub fn team_name(name: &str) -> TeamName {
+    TeamName::new(name).unwrap()
+}
+
+pub fn worker_name(name: &str) -> WorkerName {
+    WorkerName::new(name).unwrap()
+}
+
+pub fn id(name: &str) -> JobId {
+    JobId::new(name).unwrap()
+}
+
+pub fn worker(name: &str, rack: &str, accelerators: u16) -> WorkerSpec {
+    WorkerSpec {
+        name: worker_name(name),
+        rack: RackName::new(rack).unwrap(),
+        domain: DomainName::new("d").unwrap(),
+        cores: 64,
+        memory_mb: 256_000,
+        accelerators,
+        slots: 8,
+    }
+}
+
+pub fn guarantee(level: Level, accelerators: u16, count: u16) -> Guarantee {
+    Guarantee {
+        pool: pool(),
+        level,
+        accelerators,
+        count,
+    }
+}
+
+pub fn team(guarantees: Vec<Guarantee>) -> Team {
+    Team {
+        guarantees,
+        quota: 10_000,
+        weight: 1,
+        kinds: BTreeSet::new(),
+    }
+}
+
+/// An idempotent job of one member that does not checkpoint.
+pub fn job(name: &str, team: &str, accelerators: u16) -> QueuedJob {
+    QueuedJob {
+        id: id(name),
+        team: team_name(team),
+        kind: KindName::new("k").unwrap(),
+        shape: Shape {
+            accelerators,
+            ..Shape::default()
+        },
+        declared: Millis::from_secs(600),
+        checkpoints: false,
+        idempotent: true,
+        urgent: false,
+        attempt: 0,
+        since: Millis::ZERO,
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Running {
+    pub job: QueuedJob,
+    pub seats: Vec<Seat>,
+    pub guaranteed: bool,
+    pub stopping: bool,
+}
+
+#[derive(Debug)]
+pub struct World<P> {
+    pub now: Millis,
+    pub policy: P,
+    pub workers: BTreeMap<WorkerName, WorkerSpec>,
+    pub closed: BTreeSet<WorkerName>,
+    pub teams: BTreeMap<TeamName, Team>,
+    pub waiting: BTreeMap<JobId, QueuedJob>,
+    pub running: BTreeMap<JobId, Running>,
+    pub rejected: BTreeMap<JobId, bool>,
+    pub quarantined: BTreeSet<WorkerName>,
+    pub stops: Vec<Decision>,
+    /// Whether the teams changed since the tests last looked.
+    pub ticketed: bool,
+}
+
+pub fn scheduler() -> Scheduler {
+    Scheduler::new(pool(), Weights::default())
+}
+
+impl<P> World<P>
+where
+    P: Policy,
+{
+    pub fn new(policy: P, workers: &[WorkerSpec], teams: &[(&str, Team)]) -> Self {
+        let mut world = Self {
+            now: Millis::from_secs(1000),
+            policy,
+            workers: BTreeMap::new(),
+            closed: BTreeSet::new(),
+            teams: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            rejected: BTreeMap::new(),
+            quarantined: BTreeSet::new(),
+            stops: Vec::new(),
+            ticketed: false,
+        };
+        for spec in workers {
+            world.join(spec.clone());
+        }
+        world.set_teams(
+            teams
+                .iter()
+                .map(|(name, team)| (team_name(name), team.clone()))
+                .collect(),
+        );
+        world.now = world.now + Millis::from_secs(60);
+        world
+    }
+
+    pub fn apply(&mut self, event: Event) {
+        self.policy.apply(self.now, event);
+    }
+
+    pub fn join(&mut self, spec: WorkerSpec) {
+        self.closed.remove(&spec.name);
+        self.workers.insert(spec.name.clone(), spec.clone());
+        self.apply(Event::WorkerUp(spec));
+    }
+
+    pub fn set_teams(&mut self, teams: BTreeMap<TeamName, Team>) {
+        self.teams = teams.clone();
+        self.ticketed = true;
+        self.apply(Event::Teams(teams));
+    }
+
+    pub fn submit(&mut self, mut job: QueuedJob) {
+        if job.since == Millis::ZERO {
+            job.since = self.now;
+        }
+        self.waiting.insert(job.id.clone(), job.clone());
+        self.apply(Event::Queued(job));
+    }
+
+    pub fn end(&mut self, id: &JobId, kind: EndKind, worker: Option<WorkerName>) -> Running {
+        let running = self.running.remove(id).unwrap();
+        let job = id.clone();
+        self.apply(Event::Ended { job, kind, worker });
+        running
+    }
+
+    /// Ends a job that was told to stop and queues it again.
+    pub fn stopped(&mut self, id: &JobId) {
+        let mut job = self.end(id, EndKind::Stopped, None).job;
+        job.attempt += 1;
+        self.submit(job);
+    }
+
+    pub fn lose(&mut self, name: &WorkerName) {
+        self.workers.remove(name);
+        self.apply(Event::WorkerDown(name.clone()));
+        let on = |running: &Running| running.seats.iter().any(|seat| seat.worker == *name);
+        let lost = self.running.iter().filter(|(_, running)| on(running));
+        for id in lost.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            let job = self.end(&id, EndKind::Lost, Some(name.clone())).job;
+            self.submit(job);
+        }
+    }
+
+    pub fn pass(&mut self, secs: u64) {
+        self.now = self.now + Millis::from_secs(secs);
+    }
+
+    /// Decides once, carries everything out, and checks it.
+    pub fn decide(&mut self) -> Vec<Decision> {
+        let decisions = self.policy.decide(self.now);
+        for decision in &decisions {
+            match decision {
+                Decision::Place { job, seats, guaranteed } => self.place(job, seats, *guaranteed),
+                Decision::Stop { job, .. } => {
+                    let running = self.running.get_mut(job).expect("a stopped job runs");
+                    assert!(!running.guaranteed || self.ticketed, "{job} is stopped inside its guarantee");
+                    assert!(!running.stopping, "{job} is stopped twice");
+                    let resumable = running.job.checkpoints || running.job.idempotent;
+                    assert!(resumable, "{job} is stopped and cannot run again");
+                    running.stopping = true;
+                    self.stops.push(decision.clone());
+                }
+                Decision::Reject { job, failed, .. } => {
+                    self.waiting.remove(job).expect("a rejected job waits");
+                    self.rejected.insert(job.clone(), *failed);
+                }
+                Decision::Quarantine { worker, .. } => {
+                    self.quarantined.insert(worker.clone());
+                }
+                Decision::Reinstate { worker } => {
+                    self.quarantined.remove(worker);
+                }
+            }
+        }
+        decisions
+    }
+
+    /// Decides until nothing more is decided.
+    pub fn settle(&mut self) {
+        for _ in 0..100 {
+            let again = self.policy.wake().is_some_and(|at| at <= self.now);
+            if self.decide().is_empty() && !again {
+                return;
+            }
+        }
+    }
+
+    fn place(&mut self, id: &JobId, seats: &[Seat], guaranteed: bool) {
+        let job = self.waiting.remove(id).expect("a placed job waits");
+        let resumable = job.checkpoints || job.idempotent;
+        assert!(guaranteed || resumable, "{id} borrows and cannot be stopped");
+        assert_eq!(seats.len(), usize::from(job.shape.members), "{id} gets part of a gang");
+        let mut places = BTreeSet::new();
+        for seat in seats {
+            let spec = self.workers.get(&seat.worker).expect("a seat's worker is there");
+            assert!(
+                !self.closed.contains(&seat.worker),
+                "{id} is placed on a leaving worker"
+            );
+            assert_eq!(seat.accelerators.len(), usize::from(job.shape.accelerators));
+            places.insert(match job.shape.adjacent {
+                Adjacency::Worker => spec.name.to_string(),
+                Adjacency::Rack => spec.rack.to_string(),
+                Adjacency::Domain => spec.domain.to_string(),
+                Adjacency::Any => String::new(),
+            });
+        }
+        assert_eq!(places.len(), 1, "{id} is not adjacent");
+        let running = Running {
+            job,
+            seats: seats.to_vec(),
+            guaranteed,
+            stopping: false,
+        };
+        self.running.insert(id.clone(), running);
+        self.check_loads();
+        self.apply(Event::Started { job: id.clone() });
+    }
+
+    fn check_loads(&self) {
+        let mut held = BTreeSet::new();
+        let mut loads = BTreeMap::<&WorkerName, (u32, u16)>::new();
+        for running in self.running.values() {
+            for seat in &running.seats {
+                let load = loads.entry(&seat.worker).or_default();
+                load.0 += running.job.shape.cores;
+                load.1 += 1;
+                for index in &seat.accelerators {
+                    assert!(
+                        held.insert((&seat.worker, *index)),
+                        "{}/{index} is held twice",
+                        seat.worker
+                    );
+                }
+            }
+        }
+        for (name, (cores, slots)) in loads {
+            let Some(spec) = self.workers.get(name) else {
+                continue;
+            };
+            assert!(cores <= spec.cores, "{name} has too few cores");
+            assert!(slots <= spec.slots, "{name} has too few slots");
+        }
+        for (name, index) in held {
+            let Some(spec) = self.workers.get(name) else {
+                continue;
+            };
+            assert!(index < spec.accelerators, "{name} has no accelerator {index}");
+        }
+    }
+}
