--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod name;
 pub mod plan;
 pub mod platform;
+pub mod route;
 pub mod row;
 pub mod team;
 pub mod time;
