Measure scheduling policies on generated traces

No figure existed by which the policy could be judged against others.

Add `standin measure policy`: eight traces drawn by seed are replayed to a `Policy` in virtual time, with stops of up to 2 s and a check of its own on every decision. Baselines are first fit, best fit and backfill with declared times.

Before: nothing.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! for tests in one process with virtual time.
 
 pub mod fake;
+pub mod measure;
 pub mod record;
 pub mod script;
 pub mod table;
--- /dev/null
+++ b/standin/src/measure/claim.rs
@@ -0,0 +1,69 @@
+//! Which claims lie within a team's guarantee.
+//!
+//! The check counts in sets: each job that holds or claims part of the guarantee is taken to occupy at least one whole
+//! set. A claim that passes this count must be met whatever the policy did before, so a late one is always a fault.
+
+use std::collections::BTreeMap;
+
+use yuccaridge::job::{Adjacency, Shape};
+use yuccaridge::name::TeamName;
+use yuccaridge::team::{Guarantee, Level, Team};
+
+use super::progress::{Claim, Stage};
+use super::replay::Replay;
+
+/// Whether the shape is exactly one set of the guarantee.
+fn is_set(guarantee: &Guarantee, shape: &Shape) -> bool {
+    let level = match shape.adjacent {
+        Adjacency::Worker => Level::Worker,
+        Adjacency::Rack if shape.members > 1 => Level::Rack,
+        _ if shape.members == 1 => Level::Worker,
+        _ => return false,
+    };
+    level == guarantee.level && u32::from(guarantee.accelerators) == shape.total_accelerators()
+}
+
+/// Jobs of the same team that hold guaranteed seats or have claimed and wait.
+fn holders<'a>(replay: &'a Replay<'_>, i: usize) -> impl Iterator<Item = u32> + 'a {
+    let team = &replay.job(i).team;
+    replay.jobs.iter().enumerate().filter_map(move |(k, progress)| {
+        let holds = progress.holds() && progress.guaranteed;
+        let claims = progress.stage == Stage::Waiting && progress.claim != Claim::None;
+        let counts = k != i && (holds || claims) && replay.job(k).team == *team;
+        counts.then(|| replay.job(k).shape.total_accelerators())
+    })
+}
+
+/// Whether a job's claim must be met at once.
+pub fn is_entitled(teams: &BTreeMap<TeamName, Team>, replay: &Replay<'_>, i: usize) -> bool {
+    let shape = replay.job(i).shape;
+    let Some(team) = teams.get(&replay.job(i).team) else {
+        return false;
+    };
+    for guarantee in &team.guarantees {
+        if !is_set(guarantee, &shape) {
+            continue;
+        }
+        let set = u32::from(guarantee.accelerators);
+        let taken: u32 = holders(replay, i).map(|n| n.div_ceil(set)).sum();
+        return taken < u32::from(guarantee.count);
+    }
+    false
+}
+
+/// Whether a job's guaranteed seats take the team beyond what it is guaranteed, by count.
+pub fn exceeds(teams: &BTreeMap<TeamName, Team>, replay: &Replay<'_>, i: usize) -> bool {
+    let mut total = replay.job(i).shape.total_accelerators();
+    for (k, progress) in replay.jobs.iter().enumerate() {
+        if k != i && progress.holds() && progress.guaranteed && replay.job(k).team == replay.job(i).team {
+            total += replay.job(k).shape.total_accelerators();
+        }
+    }
+    let granted: u32 = teams
+        .get(&replay.job(i).team)
+        .into_iter()
+        .flat_map(|team| &team.guarantees)
+        .map(|g| u32::from(g.accelerators) * u32::from(g.count))
+        .sum();
+    total > granted
+}
--- /dev/null
+++ b/standin/src/measure/mix.rs
@@ -0,0 +1,199 @@
+//! Building blocks of the traces: fleets, teams and jobs drawn by seed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use yuccaridge::job::{Adjacency, Shape};
+use yuccaridge::name::{DomainName, JobId, KindName, PoolName, RackName, TeamName, WorkerName};
+use yuccaridge::plan::{QueuedJob, WorkerSpec};
+use yuccaridge::team::{Guarantee, Level, Team};
+use yuccaridge::time::Millis;
+
+use super::trace::{Arrival, Machine, Trace};
+
+/// Workers in a rack.
+pub const RACK: usize = 8;
+/// Racks in a failure domain.
+const DOMAIN: usize = 2;
+/// Accelerators of a worker.
+const ACCELERATORS: u16 = 8;
+/// Cores that a job asks for with each accelerator.
+const CORES: u32 = 4;
+/// Memory that a job asks for with each accelerator, in megabytes.
+const MEMORY_MB: u64 = 16_384;
+/// Speeds of the racks; each rack was bought at once.
+const GENERATIONS: [f64; 7] = [1.0, 2.0, 1.5, 4.0, 2.5, 3.0, 1.0];
+
+/// The pool that all traces use.
+pub fn pool() -> PoolName {
+    PoolName::new("main").expect("a valid name")
+}
+
+/// Name of a team.
+pub fn team(name: &str) -> TeamName {
+    TeamName::new(name).expect("a valid name")
+}
+
+/// Workers with this many cores, in racks of different speed.
+pub fn fleet(workers: usize, cores: u32) -> Vec<Machine> {
+    let mut machines = Vec::new();
+    for i in 0..workers {
+        let rack = i / RACK;
+        let spec = WorkerSpec {
+            name: WorkerName::new(format!("w{i:02}")).expect("a valid name"),
+            rack: RackName::new(format!("r{rack}")).expect("a valid name"),
+            domain: DomainName::new(format!("d{}", rack / DOMAIN)).expect("a valid name"),
+            cores,
+            memory_mb: 262_144,
+            accelerators: ACCELERATORS,
+            slots: 8,
+        };
+        machines.push(Machine {
+            spec,
+            speed: GENERATIONS[rack % GENERATIONS.len()],
+            faulty: false,
+        });
+    }
+    machines
+}
+
+/// A team with guarantees of (level, accelerators, count).
+pub fn holder(quota: u32, weight: u16, sets: &[(Level, u16, u16)]) -> Team {
+    let mut guarantees = Vec::new();
+    for &(level, accelerators, count) in sets {
+        guarantees.push(Guarantee {
+            pool: pool(),
+            level,
+            accelerators,
+            count,
+        });
+    }
+    Team {
+        guarantees,
+        quota,
+        weight,
+        kinds: BTreeSet::from([kind("batch")]),
+    }
+}
+
+fn kind(name: &str) -> KindName {
+    KindName::new(name).expect("a valid name")
+}
+
+/// A gang of `members` members with `accelerators` accelerators each.
+pub fn gang(members: u16, accelerators: u16, adjacent: Adjacency) -> Shape {
+    Shape {
+        members,
+        cores: CORES * u32::from(accelerators),
+        memory_mb: MEMORY_MB * u64::from(accelerators),
+        accelerators,
+        adjacent,
+    }
+}
+
+/// What a drawn job is like.
+#[derive(Debug, Clone)]
+pub struct Draft {
+    /// Its team.
+    pub team: &'static str,
+    /// Its kind.
+    pub kind: &'static str,
+    /// Its shape.
+    pub shape: Shape,
+    /// Run time at speed 1.
+    pub work: Millis,
+    /// Whether it claims its guarantee.
+    pub urgent: bool,
+}
+
+/// Collects a trace.
+#[derive(Debug)]
+pub struct Mix {
+    /// Source of all draws.
+    pub rng: SmallRng,
+    arrivals: Vec<Arrival>,
+}
+
+impl Mix {
+    /// Starts empty.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            arrivals: Vec::new(),
+        }
+    }
+
+    /// A time between two bounds, in seconds.
+    pub fn between(&mut self, from_s: u64, to_s: u64) -> Millis {
+        Millis(self.rng.random_range(from_s * 1000..to_s * 1000))
+    }
+
+    /// A run time from a log-normal distribution, at most 12 times its median.
+    pub fn around(&mut self, median_s: u64) -> Millis {
+        let u: f64 = 1.0 - self.rng.random::<f64>();
+        let v: f64 = self.rng.random();
+        let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+        let factor = (0.8 * normal).exp().clamp(0.1, 12.0);
+        Millis((median_s as f64 * 1000.0 * factor) as u64)
+    }
+
+    /// Picks one by weight.
+    pub fn choose<T>(&mut self, choices: &[(u32, T)]) -> T
+    where
+        T: Clone,
+    {
+        let total: u32 = choices.iter().map(|(weight, _)| weight).sum();
+        let mut left = self.rng.random_range(0..total);
+        for (weight, choice) in choices {
+            if left < *weight {
+                return choice.clone();
+            }
+            left -= weight;
+        }
+        choices[0].1.clone()
+    }
+
+    /// Adds a job; most can write checkpoints, all may run again, declarations are off by up to 30%.
+    pub fn add(&mut self, at: Millis, draft: &Draft) {
+        let declared = draft.work.0 as f64 * self.rng.random_range(0.7..1.3);
+        let checkpoints = draft.shape.total_accelerators() >= 8 || self.rng.random_bool(0.7);
+        let job = QueuedJob {
+            id: JobId::new(format!("j{:05}", self.arrivals.len())).expect("a valid name"),
+            team: team(draft.team),
+            kind: kind(draft.kind),
+            shape: draft.shape,
+            declared: Millis(declared as u64),
+            checkpoints,
+            idempotent: true,
+            urgent: draft.urgent,
+            attempt: 0,
+            since: at,
+        };
+        self.arrivals.push(Arrival {
+            job,
+            work: draft.work,
+            cancel: None,
+            faulty: false,
+        });
+    }
+
+    /// Makes the trace.
+    pub fn trace(
+        mut self,
+        machines: Vec<Machine>,
+        teams: BTreeMap<TeamName, Team>,
+        window_s: u64,
+        large: u32,
+    ) -> Trace {
+        self.arrivals.sort_by_key(|arrival| arrival.job.since);
+        Trace {
+            machines,
+            teams,
+            arrivals: self.arrivals,
+            outages: Vec::new(),
+            window: Millis::from_secs(window_s),
+            large,
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/measure/mod.rs
@@ -0,0 +1,38 @@
+//! Measurements of the product's decisions, in virtual time and without a network.
+
+mod baseline;
+mod carry;
+pub mod check;
+mod claim;
+pub mod contender;
+mod delay;
+pub mod figures;
+mod fit;
+mod ledger;
+mod mix;
+mod plot;
+pub mod policy;
+mod progress;
+pub mod replay;
+mod report;
+pub mod scenario;
+pub mod target;
+pub mod trace;
+
+use clap::Subcommand;
+
+/// What to measure.
+#[derive(Debug, Clone, Subcommand)]
+pub enum Measure {
+    /// Compare the product's scheduling policy with baselines on generated traces.
+    Policy(policy::PolicyArgs),
+}
+
+impl Measure {
+    /// Measures and prints.
+    pub fn run(&self) -> miette::Result<()> {
+        match self {
+            Self::Policy(args) => args.run(),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/measure/policy.rs
@@ -0,0 +1,149 @@
+//! `standin measure policy`.
+
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+use clap::{Args, ValueEnum};
+
+use super::contender::{Contender, Owner};
+use super::figures::{Run, Summary};
+use super::replay::replay;
+use super::scenario::Scenario;
+use super::{plot, report};
+
+/// Weights to measure with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Choice {
+    /// Kickerdelar Norden's.
+    Norden,
+    /// Dakar Paws Alert's.
+    Dakar,
+    /// Both in turn.
+    Both,
+}
+
+/// Compares scheduling policies on generated arrival traces in virtual time.
+///
+/// Fragmentation is the time-weighted share of the free accelerators that the largest waiting shape cannot use, over the
+/// trace's window (12 hours for the two organisations, 3 hours for the other traces); moments at which no job waits or
+/// nothing is free count as 0. The wait of a large job is all the time from its arrival to its end in which it did not
+/// run. Reclaim time is counted for claims within a guarantee that could not be met by free accelerators. Baselines
+/// never stop a job, so they break the guarantee of such claims.
+#[derive(Debug, Clone, Args)]
+pub struct PolicyArgs {
+    /// Scenarios to run; all if none is named.
+    #[arg(long, value_enum)]
+    pub scenario: Vec<Scenario>,
+    /// Number of seeds.
+    #[arg(long, default_value_t = 10)]
+    pub seeds: u64,
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Weights of the product's policy.
+    #[arg(long, value_enum, default_value_t = Choice::Both)]
+    pub weights: Choice,
+    /// Replays to run at once.
+    #[arg(long, default_value_t = 3)]
+    pub threads: usize,
+    /// Print one object a line; the targets go to standard error.
+    #[arg(long)]
+    pub json: bool,
+    /// Draw the comparison into this SVG file.
+    #[arg(long, value_name = "FILE.svg")]
+    pub plot: Option<PathBuf>,
+}
+
+/// Figures of one policy in one scenario.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Row {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The policy.
+    pub contender: Contender,
+    /// Number of seeds.
+    pub seeds: u64,
+    /// The figures.
+    pub summary: Summary,
+}
+
+impl PolicyArgs {
+    fn contenders(&self) -> Vec<Contender> {
+        let mut all = match self.weights {
+            Choice::Norden => vec![Contender::Ours(Owner::Norden)],
+            Choice::Dakar => vec![Contender::Ours(Owner::Dakar)],
+            Choice::Both => vec![Contender::Ours(Owner::Norden), Contender::Ours(Owner::Dakar)],
+        };
+        all.extend(Contender::BASELINES);
+        all
+    }
+
+    /// Runs all replays and summarises them.
+    pub fn measure(&self) -> Vec<Row> {
+        let scenarios = if self.scenario.is_empty() {
+            Scenario::value_variants()
+        } else {
+            &self.scenario
+        };
+        let mut rows = Vec::new();
+        for &scenario in scenarios {
+            for contender in self.contenders() {
+                rows.push(Row {
+                    scenario,
+                    contender,
+                    seeds: self.seeds,
+                    summary: Summary::new(&self.runs(scenario, contender)),
+                });
+            }
+        }
+        rows
+    }
+
+    /// One replay for each seed, in order of the seeds.
+    fn runs(&self, scenario: Scenario, contender: Contender) -> Vec<Run> {
+        let next = AtomicUsize::new(0);
+        let count = self.seeds as usize;
+        let runs = Mutex::new(vec![Run::default(); count]);
+        thread::scope(|scope| {
+            for _ in 0..self.threads.clamp(1, count.max(1)) {
+                scope.spawn(|| {
+                    loop {
+                        let i = next.fetch_add(1, Ordering::Relaxed);
+                        if i >= count {
+                            break;
+                        }
+                        let seed = self.seed + i as u64;
+                        let run = replay(&scenario.trace(seed), &mut *contender.policy(), seed);
+                        runs.lock().expect("no replay panics with the lock held")[i] = run;
+                    }
+                });
+            }
+        });
+        runs.into_inner().expect("no replay panics with the lock held")
+    }
+
+    /// Measures and prints.
+    pub fn run(&self) -> miette::Result<()> {
+        let rows = self.measure();
+        self.print(&rows)
+            .map_err(|e| miette::miette!("cannot print the figures: {e}"))?;
+        if let Some(path) = &self.plot {
+            plot::draw(&rows, path).map_err(|e| miette::miette!("cannot draw {}: {e}", path.display()))?;
+        }
+        Ok(())
+    }
+
+    fn print(&self, rows: &[Row]) -> io::Result<()> {
+        let mut out = io::stdout().lock();
+        if self.json {
+            report::write_json(rows, &mut out)?;
+            return report::write_targets(rows, &mut io::stderr().lock());
+        }
+        report::write_table(rows, &mut out)?;
+        writeln!(out)?;
+        report::write_targets(rows, &mut out)
+    }
+}
--- /dev/null
+++ b/standin/src/measure/trace.rs
@@ -0,0 +1,77 @@
+//! What a replay is fed: a fleet, teams, arrivals and outages.
+
+use std::collections::BTreeMap;
+
+use yuccaridge::name::{TeamName, WorkerName};
+use yuccaridge::plan::{QueuedJob, WorkerSpec};
+use yuccaridge::team::Team;
+use yuccaridge::time::Millis;
+
+/// A worker with the properties that a policy has to find out.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    /// What the policy is told.
+    pub spec: WorkerSpec,
+    /// Work done per unit of time; 1 is the slowest.
+    pub speed: f64,
+    /// Whether it fails everything it starts.
+    pub faulty: bool,
+}
+
+/// A job with the properties that a policy has to find out.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// What the policy is told, and when.
+    pub job: QueuedJob,
+    /// Run time at speed 1.
+    pub work: Millis,
+    /// When its caller cancels it.
+    pub cancel: Option<Millis>,
+    /// Whether it fails on every worker.
+    pub faulty: bool,
+}
+
+/// Workers lost together.
+#[derive(Debug, Clone)]
+pub struct Outage {
+    /// From when.
+    pub start: Millis,
+    /// Until when.
+    pub end: Millis,
+    /// Which.
+    pub workers: Vec<WorkerName>,
+}
+
+/// Everything that happens to a policy in one replay.
+#[derive(Debug, Clone)]
+pub struct Trace {
+    /// The fleet.
+    pub machines: Vec<Machine>,
+    /// The teams.
+    pub teams: BTreeMap<TeamName, Team>,
+    /// Jobs, in order of arrival.
+    pub arrivals: Vec<Arrival>,
+    /// Outages.
+    pub outages: Vec<Outage>,
+    /// Time over which fragmentation is measured.
+    pub window: Millis,
+    /// Accelerators from which on a job counts as large.
+    pub large: u32,
+}
+
+impl Trace {
+    /// Completion times if each job that can complete had the fastest worker to itself; no policy is below them.
+    pub fn floor(&self) -> Vec<Millis> {
+        let mut fastest = 1.0_f64;
+        for machine in &self.machines {
+            fastest = fastest.max(machine.speed);
+        }
+        let mut spans = Vec::new();
+        for arrival in &self.arrivals {
+            if arrival.cancel.is_none() && !arrival.faulty {
+                spans.push(Millis((arrival.work.0 as f64 / fastest) as u64));
+            }
+        }
+        spans
+    }
+}
--- /dev/null
+++ b/standin/tests/policy.rs
@@ -0,0 +1,165 @@
+//! Replays of small traces: same seed, same figures; and the check catches broken policies.
+
+use standin::measure::check::Violation;
+use standin::measure::contender::Contender;
+use standin::measure::figures::Run;
+use standin::measure::replay::replay;
+use standin::measure::scenario::Scenario;
+use yuccaridge::job::Seat;
+use yuccaridge::name::JobId;
+use yuccaridge::plan::{Decision, Event, Policy, StopReason};
+use yuccaridge::time::Millis;
+
+const SEED: u64 = 3;
+
+fn run(scenario: Scenario, contender: Contender) -> Run {
+    replay(&scenario.trace(SEED), &mut *contender.policy(), SEED)
+}
+
+/// A way in which a policy can be wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    DropsMember,
+    HoldsTwice,
+    IgnoresQuota,
+    StopsGuaranteed,
+    Rejects,
+    ForgetsJob,
+}
+
+/// A sound baseline with one fault added.
+#[derive(Debug)]
+struct Broken {
+    inner: Box<dyn Policy>,
+    fault: Fault,
+    last: Option<(JobId, Vec<Seat>)>,
+    started: Option<JobId>,
+    stops: u32,
+}
+
+impl Broken {
+    fn new(fault: Fault) -> Self {
+        Self {
+            inner: Contender::BestFit.policy(),
+            fault,
+            last: None,
+            started: None,
+            stops: 20,
+        }
+    }
+
+    fn spoil(&mut self, decision: Decision) -> Option<Decision> {
+        let Decision::Place { job, mut seats, .. } = decision else {
+            return Some(decision);
+        };
+        let before = self.last.replace((job.clone(), seats.clone()));
+        match self.fault {
+            Fault::DropsMember if seats.len() > 1 => {
+                seats.pop();
+            }
+            Fault::HoldsTwice => {
+                if let Some((_, taken)) = before
+                    && taken.len() == seats.len()
+                    && taken[0].accelerators.len() == seats[0].accelerators.len()
+                {
+                    seats = taken;
+                }
+            }
+            Fault::Rejects => {
+                return Some(Decision::Reject {
+                    job,
+                    reason: "none".to_owned(),
+                    failed: false,
+                });
+            }
+            Fault::ForgetsJob if job.as_str().ends_with('7') => return None,
+            _ => {}
+        }
+        Some(Decision::Place {
+            job,
+            seats,
+            guaranteed: self.fault == Fault::StopsGuaranteed,
+        })
+    }
+}
+
+impl Policy for Broken {
+    fn apply(&mut self, now: Millis, event: Event) {
+        match event {
+            Event::Teams(mut teams) if self.fault == Fault::IgnoresQuota => {
+                for team in teams.values_mut() {
+                    team.quota = u32::MAX;
+                }
+                self.inner.apply(now, Event::Teams(teams));
+            }
+            Event::Started { job } => self.started = Some(job),
+            _ => self.inner.apply(now, event),
+        }
+    }
+
+    fn decide(&mut self, now: Millis) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for decision in self.inner.decide(now) {
+            decisions.extend(self.spoil(decision));
+        }
+        if self.fault == Fault::StopsGuaranteed
+            && self.stops > 0
+            && let Some(job) = self.started.take()
+        {
+            self.stops -= 1;
+            let reason = StopReason::Overrun;
+            decisions.push(Decision::Stop { job, reason });
+        }
+        decisions
+    }
+
+    fn wake(&self) -> Option<Millis> {
+        self.inner.wake()
+    }
+}
+
+/// Guards against figures that depend on anything but the seed.
+#[test]
+fn same_seed_gives_the_same_figures() {
+    for scenario in [Scenario::Burst, Scenario::RackLost] {
+        for contender in Contender::BASELINES {
+            let first = run(scenario, contender);
+            assert_eq!(first, run(scenario, contender), "{scenario:?} {contender:?}");
+            assert!(!first.completions.is_empty() && first.end > Millis::ZERO);
+        }
+    }
+}
+
+/// Guards against a check that lets a broken policy pass.
+#[test]
+fn check_catches_each_fault() {
+    let faults = [
+        (Fault::DropsMember, Violation::PartialGang),
+        (Fault::HoldsTwice, Violation::HeldTwice),
+        (Fault::IgnoresQuota, Violation::QuotaBroken),
+        (Fault::StopsGuaranteed, Violation::GuaranteedStopped),
+        (Fault::StopsGuaranteed, Violation::GuaranteeExceeded),
+        (Fault::Rejects, Violation::Rejected),
+        (Fault::ForgetsJob, Violation::Unfinished),
+    ];
+    let trace = Scenario::Burst.trace(SEED);
+    for (fault, violation) in faults {
+        let run = replay(&trace, &mut Broken::new(fault), SEED);
+        assert!(
+            run.violations.contains_key(&violation),
+            "{fault:?}: {:?}",
+            run.violations
+        );
+    }
+}
+
+/// Guards against a check that overlooks claims which are never enforced, or finds faults in a policy without any other.
+#[test]
+fn baselines_only_break_claims() {
+    for contender in Contender::BASELINES {
+        let run = run(Scenario::Burst, contender);
+        let kinds: Vec<Violation> = run.violations.keys().copied().collect();
+        assert_eq!(kinds, [Violation::ClaimLate], "{contender:?}");
+        assert!(run.reclaims.iter().any(|span| *span > Millis(2_600)));
+    }
+}
