Add the client and the command line

Cause: callers and operators need a program, and tools need a client of the API. Ruled out: one error for all transport failures, since a script must tell "not run" from "not known".

--- /dev/null
+++ b/src/bin/yuccaridge/exit.rs
@@ -0,0 +1,159 @@
+//! Exit codes and the report of failures.
+
+use std::io;
+use std::process::ExitCode;
+
+use miette::{LabeledSpan, MietteDiagnostic, NamedSource, Report};
+use serde_json::json;
+use yuccaridge::api::{ApiError, Code, JobView};
+use yuccaridge::client::ClientError;
+use yuccaridge::config::ConfigError;
+use yuccaridge::job::Outcome;
+
+/// How the program ends; the help text of the command line lists the codes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// Done.
+    Success = 0,
+    /// The program itself failed.
+    Internal = 1,
+    /// Refused for good.
+    Refused = 3,
+    /// Not run; may be repeated.
+    NotRun = 4,
+    /// Not known.
+    Unknown = 5,
+    /// The job ended without a whole answer.
+    Ended = 6,
+    /// Settings or ticket not valid.
+    Invalid = 7,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+impl Exit {
+    /// The code for a job as shown.
+    pub fn of_job(view: &JobView) -> Self {
+        match view.outcome {
+            None | Some(Outcome::Completed { .. }) => Self::Success,
+            Some(Outcome::Unknown { .. }) => Self::Unknown,
+            Some(_) => Self::Ended,
+        }
+    }
+
+    fn of_error(error: &ApiError) -> Self {
+        match error.code {
+            Code::Unknown => Self::Unknown,
+            _ if error.repeat => Self::NotRun,
+            _ => Self::Refused,
+        }
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum Failure {
+    /// Settings.
+    Config(ConfigError),
+    /// A request.
+    Client(ClientError),
+    /// A file that cannot be read.
+    File(String, io::Error),
+    /// A ticket that is not valid.
+    Ticket(String),
+    /// The instance.
+    Instance(String),
+}
+
+impl From<ConfigError> for Failure {
+    fn from(error: ConfigError) -> Self {
+        Self::Config(error)
+    }
+}
+
+impl From<ClientError> for Failure {
+    fn from(error: ClientError) -> Self {
+        Self::Client(error)
+    }
+}
+
+impl Failure {
+    fn exit(&self) -> Exit {
+        match self {
+            Self::Config(ConfigError::Read { .. }) | Self::File(..) | Self::Instance(_) => Exit::Internal,
+            Self::Config(_) | Self::Ticket(_) => Exit::Invalid,
+            Self::Client(ClientError::Unreached { .. }) => Exit::NotRun,
+            Self::Client(ClientError::Lost { .. }) => Exit::Unknown,
+            Self::Client(ClientError::Refused(error)) => Exit::of_error(error),
+        }
+    }
+
+    /// Tells the user, on standard error.
+    pub fn report(self, is_json: bool) -> Exit {
+        let exit = self.exit();
+        if is_json {
+            eprintln!("{}", self.json());
+        } else {
+            eprintln!("{:?}", self.diagnostic());
+        }
+        exit
+    }
+
+    fn json(&self) -> serde_json::Value {
+        match self {
+            Self::Client(ClientError::Refused(error)) => json!(error),
+            Self::Client(error @ ClientError::Unreached { .. }) => {
+                json!({ "code": "unreached", "message": error.to_string(), "repeat": true, "not_run": true })
+            }
+            Self::Client(error @ ClientError::Lost { .. }) => {
+                json!({ "code": "unknown", "message": error.to_string(), "repeat": true, "not_run": false })
+            }
+            Self::Config(ConfigError::Text { message, help, place }) => json!({
+                "code": "settings", "message": message, "help": help,
+                "file": place.source, "line": place.line, "column": place.column,
+            }),
+            Self::Config(error) => json!({ "code": "settings", "message": error.to_string() }),
+            Self::File(path, error) => json!({ "code": "file", "message": format!("{path}: {error}") }),
+            Self::Ticket(message) => json!({ "code": "ticket", "message": message }),
+            Self::Instance(message) => json!({ "code": "instance", "message": message }),
+        }
+    }
+
+    fn diagnostic(self) -> Report {
+        match self {
+            Self::Config(ConfigError::Text { message, help, place }) => {
+                // A span of no length at the end of a text is still drawn when it has one character.
+                let length = (place.end - place.start).max(1);
+                let heading = format!("settings line {}, column {}: {message}", place.line, place.column);
+                let report = MietteDiagnostic::new(heading)
+                    .with_help(help)
+                    .with_label(LabeledSpan::new_with_span(
+                        Some("here".to_owned()),
+                        (place.start, length),
+                    ));
+                Report::new(report).with_source_code(NamedSource::new(place.source, place.text))
+            }
+            Self::Config(ConfigError::Read { path, source }) => plain(&format!("{path} cannot be read: {source}")),
+            Self::Config(error) => plain(&error.to_string()),
+            Self::Client(ClientError::Refused(error)) => {
+                let help = match (error.repeat, error.not_run) {
+                    (true, true) => "Nothing was run. You may repeat the same request.",
+                    (true, false) => "Ask again with the same id or number.",
+                    (false, _) => "Nothing was run. Repeating the same request will not help.",
+                };
+                Report::new(MietteDiagnostic::new(error.message).with_help(help))
+            }
+            Self::Client(error) => plain(&error.to_string()),
+            Self::File(path, error) => plain(&format!("{path} cannot be read: {error}")),
+            Self::Ticket(message) | Self::Instance(message) => plain(&message),
+        }
+    }
+}
+
+fn plain(message: &str) -> Report {
+    Report::new(MietteDiagnostic::new(message))
+}
--- /dev/null
+++ b/src/bin/yuccaridge/serve.rs
@@ -0,0 +1,41 @@
+//! `serve`, and the settings of `serve` and `check`.
+
+use std::collections::BTreeMap;
+use std::env;
+
+use yuccaridge::config::{Config, Origin, Override, Source, from_environment};
+
+use crate::cli::SettingsOptions;
+use crate::exit::{Exit, Failure};
+
+/// Runs an instance until it has drained.
+pub fn run(options: &SettingsOptions) -> Result<Exit, Failure> {
+    let config = resolve(options)?;
+    Err(Failure::Instance(format!(
+        "instance {} cannot run: this build has no instance",
+        config.instance
+    )))
+}
+
+/// Resolves file, environment and command line.
+pub fn resolve(options: &SettingsOptions) -> Result<Config, Failure> {
+    let source = match &options.settings {
+        Some(path) => Source::read(path)?,
+        None => Source::parse("no settings file", "{}")?,
+    };
+    let mut variables = BTreeMap::new();
+    for (name, value) in env::vars_os() {
+        if let (Ok(name), Ok(value)) = (name.into_string(), value.into_string()) {
+            variables.insert(name, value);
+        }
+    }
+    let mut overrides = from_environment(&variables)?;
+    for (path, value) in &options.sets {
+        overrides.push(Override {
+            path: path.clone(),
+            value: value.clone(),
+            origin: Origin::CommandLine,
+        });
+    }
+    Ok(Config::resolve(&source, &overrides)?)
+}
--- a/src/config/key.rs
+++ b/src/config/key.rs
@@ -42,12 +42,12 @@
         "IP:PORT",
     ),
     text("peer", "Where the other instances connect.", "IP:PORT"),
-    text("platform.table", "The platform's table service.", "http://IP:PORT"),
-    text("platform.objects", "The platform's object store.", "http://IP:PORT"),
+    text("platform.table", "The platform's table service.", "IP:PORT"),
+    text("platform.objects", "The platform's object store.", "IP:PORT"),
     text(
         "platform.list",
         "The platform's list of instances and workers.",
-        "http://IP:PORT",
+        "IP:PORT",
     ),
     number(
         "timeouts.connect_ms",
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -21,7 +21,7 @@
 pub use limits::Limits;
 pub use log::{LogFormat, LogLevel, LogSettings, TraceOutput};
 pub use origin::{ENV_PREFIX, Origin, Override, from_environment};
-pub use platform::Bases;
+pub use platform::{BaseSettings, Bases};
 pub use resolved::Config;
 pub use settings::Settings;
 pub use source::Source;
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -2,14 +2,27 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Base addresses, each `http://IP:PORT`.
-#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+use crate::platform::Address;
+
+/// Addresses as written.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+pub struct BaseSettings {
+    /// Transactional table.
+    pub table: Option<Address>,
+    /// Object store.
+    pub objects: Option<Address>,
+    /// List of instances and workers.
+    pub list: Option<Address>,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bases {
     /// Transactional table.
-    pub table: String,
+    pub table: Address,
     /// Object store.
-    pub objects: String,
+    pub objects: Address,
     /// List of instances and workers.
-    pub list: String,
+    pub list: Address,
 }
--- a/src/config/resolved.rs
+++ b/src/config/resolved.rs
@@ -1,7 +1,5 @@
 //! The configuration that a process runs with.
 
-use std::net::SocketAddr;
-
 use serde_json::Value;
 
 use super::{
@@ -142,21 +140,6 @@
         N::try_from(text).map_err(|e| self.error(path, &e.to_string(), "Choose another name."))
     }
 
-    fn base(&self, path: &'static str, text: String) -> Result<String, ConfigError> {
-        if text.is_empty() {
-            return Err(missing(path));
-        }
-        let address = text.strip_prefix("http://").map(str::parse::<SocketAddr>);
-        match address {
-            Some(Ok(_)) => Ok(text),
-            _ => Err(self.error(
-                path,
-                "this is no address of the form http://IP:PORT",
-                "Names are not looked up; write the IP number.",
-            )),
-        }
-    }
-
     fn build(&self, settings: Settings) -> Result<Config, ConfigError> {
         let listen = settings.listen.ok_or_else(|| missing("listen"))?;
         let advertise = settings.advertise.unwrap_or(listen);
@@ -176,9 +159,9 @@
             advertise,
             peer: settings.peer.ok_or_else(|| missing("peer"))?,
             platform: Bases {
-                table: self.base("platform.table", settings.platform.table)?,
-                objects: self.base("platform.objects", settings.platform.objects)?,
-                list: self.base("platform.list", settings.platform.list)?,
+                table: settings.platform.table.ok_or_else(|| missing("platform.table"))?,
+                objects: settings.platform.objects.ok_or_else(|| missing("platform.objects"))?,
+                list: settings.platform.list.ok_or_else(|| missing("platform.list"))?,
             },
             timeouts: settings.timeouts,
             weights: settings.weights,
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Bases, Budget, Limits, LogSettings, Timeouts, TraceOutput};
+use super::{BaseSettings, Budget, Limits, LogSettings, Timeouts, TraceOutput};
 use crate::plan::Weights;
 use crate::platform::Address;
 
@@ -21,7 +21,7 @@
     /// Address for peers.
     pub peer: Option<Address>,
     /// The platform's services.
-    pub platform: Bases,
+    pub platform: BaseSettings,
     /// Timeouts.
     pub timeouts: Timeouts,
     /// What counts, relative to each other.
@@ -46,7 +46,7 @@
             listen: None,
             advertise: None,
             peer: None,
-            platform: Bases::default(),
+            platform: BaseSettings::default(),
             timeouts: Timeouts::default(),
             weights: Weights::default(),
             budget: Budget::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,11 @@
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
 pub mod api;
+pub mod client;
 pub mod config;
 pub mod job;
-pub mod metric;
 pub mod member;
+pub mod metric;
 pub mod name;
 pub mod plan;
 pub mod planner;
--- a/src/platform/http/mod.rs
+++ b/src/platform/http/mod.rs
@@ -13,7 +13,7 @@
 mod listing;
 mod lost;
 mod objects;
-mod sent_body;
+pub(crate) mod sent_body;
 mod table;
 mod timeouts;
 pub mod wire;
--- a/src/platform/http/sent_body.rs
+++ b/src/platform/http/sent_body.rs
@@ -8,7 +8,7 @@
 /// Body that notes when it is written. attohttpc writes a body only after it has connected, and a server cannot act
 /// on a request whose announced body has not begun to arrive.
 #[derive(Debug)]
-pub(super) struct SentBody<'a> {
+pub(crate) struct SentBody<'a> {
     pub bytes: &'a [u8],
     pub sent: &'a Cell<bool>,
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -7,7 +7,7 @@
 
 const MINIMAL: &str = r#"{
   "instance": "a", "domain": "d", "listen": "127.0.0.1:1", "peer": "127.0.0.1:2",
-  "platform": { "table": "http://127.0.0.1:3", "objects": "http://127.0.0.1:4", "list": "http://127.0.0.1:5" }
+  "platform": { "table": "127.0.0.1:3", "objects": "127.0.0.1:4", "list": "127.0.0.1:5" }
 }"#;
 
 fn resolve(text: &str, overrides: &[Override]) -> Result<Config, ConfigError> {
@@ -52,8 +52,7 @@
             ("log.format", _) => "json".to_owned(),
             ("log.level", _) => "debug".to_owned(),
             ("trace", _) => "log".to_owned(),
-            (path, _) if path.starts_with("platform") => "http://127.0.0.1:9".to_owned(),
-            ("listen" | "advertise" | "peer", _) => "127.0.0.1:9".to_owned(),
+            (_, _) if key.unit == "IP:PORT" => "127.0.0.1:9".to_owned(),
             _ => "name".to_owned(),
         };
         resolve(MINIMAL, &[set(key.path, &value)]).unwrap_or_else(|e| panic!("{}: {e}", key.path));
@@ -106,7 +105,7 @@
     let long = MINIMAL.replace("\"a\"", &format!("\"{}\"", "x".repeat(65)));
     assert!(place_of(&long).0.contains("at most 64"));
     let named = MINIMAL.replace("127.0.0.1:3", "table.example:3");
-    assert!(place_of(&named).0.contains("http://IP:PORT"));
+    assert!(place_of(&named).0.contains("socket address"));
 }
 
 /// Guards against a missing key that turns up only at run time.
