Log to standard error with fields, and test spans and metrics

Cause: instances have no disk; operators must find all lines about one job, and dashboards need stable names. Change: logging::start over flexi_logger, plain or JSON lines, fields through log's kv; tests of the log, the spans and the text of the metrics. Ruled out: own line formats, since flexi_logger's carry the fields already. Conclusion: one traceparent can be followed over hops in the lines of standard error.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod config;
 pub mod job;
+pub mod logging;
 pub mod member;
 pub mod metric;
 pub mod name;
--- /dev/null
+++ b/src/logging/start.rs
@@ -0,0 +1,59 @@
+//! Start of the log.
+
+use std::fmt;
+
+use flexi_logger::{ErrorChannel, LogSpecification, Logger, LoggerHandle, detailed_format, json_format};
+use log::LevelFilter;
+
+use super::LoggingError;
+use crate::config::{LogFormat, LogLevel, LogSettings};
+
+/// The running log; flushed when it is dropped.
+pub struct Logging {
+    handle: LoggerHandle,
+}
+
+impl fmt::Debug for Logging {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Logging").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Logging {
+    fn drop(&mut self) {
+        self.handle.flush();
+    }
+}
+
+fn filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
+
+/// Starts the log of the process; fails if it has one already.
+pub fn start(settings: &LogSettings) -> Result<Logging, LoggingError> {
+    // Libraries log each connection at lower levels.
+    let specification = LogSpecification::builder()
+        .default(LevelFilter::Warn)
+        .module("yuccaridge", filter(settings.level))
+        .module("span", LevelFilter::Info)
+        .build();
+    let format = match settings.format {
+        LogFormat::Plain => detailed_format,
+        LogFormat::Json => json_format,
+    };
+    let handle = Logger::with(specification)
+        .log_to_stderr()
+        .format(format)
+        .use_utc()
+        // A closed standard error must not end the process.
+        .error_channel(ErrorChannel::DevNull)
+        .panic_if_error_channel_is_broken(false)
+        .start()?;
+    Ok(Logging { handle })
+}
--- /dev/null
+++ b/tests/logging.rs
@@ -0,0 +1,107 @@
+//! Lines of the log and spans, read from the standard error of a process of its own.
+
+use std::process::Command;
+use std::{env, io};
+
+use serde_json::Value;
+use yuccaridge::config::{LogFormat, LogLevel, LogSettings, TraceOutput};
+use yuccaridge::logging;
+use yuccaridge::trace::Tracer;
+
+const PARENT: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+
+/// Writes a few lines; the log can be started only once in a process.
+#[test]
+#[ignore = "is run by the other tests as a process of its own"]
+fn emit() {
+    let is_json = env::var("EMIT").expect("set by the other tests") == "json";
+    let settings = LogSettings {
+        format: if is_json { LogFormat::Json } else { LogFormat::Plain },
+        level: LogLevel::Info,
+    };
+    let log = logging::start(&settings).expect("starts");
+    assert!(logging::start(&settings).is_err(), "a second log was started");
+    log::info!(target: "yuccaridge::test", job = "photo-7", attempt = 2, ticket = 4711; "placed \"here\"\nand there");
+    log::debug!(target: "yuccaridge::test", "too detailed");
+    log::info!(target: "tiny_http", "from a library");
+    let output = if is_json { TraceOutput::Log } else { TraceOutput::Stderr };
+    let tracer = Tracer::new(output);
+    let first = tracer.hop("submit", Some(PARENT));
+    first.set("job", "photo-7");
+    drop(tracer.hop("call", Some(&first.traceparent())));
+    drop(first);
+    drop(log);
+}
+
+fn emitted(form: &str) -> Vec<String> {
+    let output = Command::new(env::current_exe().expect("own path"))
+        .args(["--exact", "emit", "--ignored", "--nocapture"])
+        .env("EMIT", form)
+        .output()
+        .expect("runs");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(output.status.success(), "{text}");
+    let mut lines = Vec::new();
+    for line in text.lines() {
+        lines.push(line.to_owned());
+    }
+    lines
+}
+
+fn parse(line: &str) -> io::Result<Value> {
+    Ok(serde_json::from_str(line)?)
+}
+
+/// Guards against lines without fields, below the level, or broken by a line end in a message.
+#[test]
+fn json_lines_carry_fields() {
+    let lines = emitted("json");
+    let first = parse(&lines[0]).expect("JSON");
+    assert_eq!(
+        (&first["level"], &first["text"]),
+        (&"INFO".into(), &"placed \"here\"\nand there".into())
+    );
+    let fields = first["kv"].to_string();
+    for part in ["photo-7", "4711", "attempt"] {
+        assert!(fields.contains(part), "{part} is missing in {fields}");
+    }
+    let all = lines.join("\n");
+    assert!(
+        !all.contains("too detailed") && !all.contains("from a library"),
+        "{all}"
+    );
+    let span = parse(&lines[1]).expect("JSON");
+    assert!(
+        span["text"]
+            .as_str()
+            .is_some_and(|text| text.contains("\"span\":\"call\"")),
+        "{span}"
+    );
+}
+
+/// Guards against plain lines without fields, and against spans that lose their trace or their parent.
+#[test]
+fn plain_lines_and_spans_are_readable() {
+    let lines = emitted("plain");
+    assert!(
+        lines[0].contains("INFO") && lines[0].contains("photo-7"),
+        "{}",
+        lines[0]
+    );
+    let mut spans = Vec::new();
+    for line in &lines {
+        if let Ok(span) = parse(line) {
+            spans.push(span);
+        }
+    }
+    let [inner, outer] = spans.as_slice() else {
+        panic!("{spans:?}")
+    };
+    assert_eq!((&inner["span"], &outer["span"]), (&"call".into(), &"submit".into()));
+    assert_eq!(inner["trace"], PARENT[3..35]);
+    assert_eq!(
+        (&inner["parent"], &outer["parent"]),
+        (&outer["id"], &PARENT[36..52].into())
+    );
+    assert_eq!(outer["fields"]["job"], "photo-7");
+}
--- /dev/null
+++ b/tests/metric.rs
@@ -0,0 +1,47 @@
+//! Text of the metrics.
+
+use std::time::Duration;
+
+use yuccaridge::metric::{Direction, Metrics, Result};
+use yuccaridge::name::PoolName;
+use yuccaridge::platform::Step;
+
+/// Guards against renamed metrics, which break the operators' dashboards, and against a missing unit.
+#[test]
+fn names_and_units_are_stable() {
+    let metrics = Metrics::new();
+    let pool = PoolName::new("night").expect("name");
+    metrics.step(Step::Place, Result::ok);
+    metrics.step(Step::Place, Result::conflict);
+    metrics.request("submit", 429);
+    metrics.call(Duration::from_millis(3));
+    metrics.set_waiting(&pool, 5);
+    metrics.set_sessions(9);
+    metrics.set_ticket(4711);
+    metrics.peer(Direction::sent, 2, 90);
+    let text = metrics.text();
+    for line in [
+        "yuccaridge_steps_total{step=\"place\",result=\"conflict\"} 1",
+        "yuccaridge_requests_total{route=\"submit\",status=\"429\"} 1",
+        "# UNIT yuccaridge_call_duration_seconds seconds",
+        "yuccaridge_call_duration_seconds_bucket{le=\"0.004\"} 1",
+        "yuccaridge_waiting_jobs{pool=\"night\"} 5",
+        "yuccaridge_sessions 9",
+        "yuccaridge_ticket 4711",
+        "yuccaridge_peer_messages_total{direction=\"sent\"} 2",
+        "yuccaridge_peer_bytes_total{direction=\"sent\"} 90",
+        "# EOF",
+    ] {
+        assert!(text.contains(line), "{line} is missing in\n{text}");
+    }
+}
+
+/// Guards against a pool that another instance plans by now and that still counts here.
+#[test]
+fn a_pool_handed_over_is_no_longer_shown() {
+    let metrics = Metrics::new();
+    let pool = PoolName::new("night").expect("name");
+    metrics.set_waiting(&pool, 5);
+    metrics.drop_pool(&pool);
+    assert!(!metrics.text().contains("night"));
+}
