--- a/standin/src/measure/baseline.rs
+++ b/standin/src/measure/baseline.rs
@@ -167,7 +167,9 @@
         match event {
             Event::Teams(teams) => self.teams = teams,
             Event::WorkerUp(spec) => self.ledger.add(spec),
-            Event::WorkerLeaving(worker) | Event::WorkerDown(worker) => self.ledger.close(&worker),
+            Event::WorkerQuarantined(worker) | Event::WorkerLeaving(worker) | Event::WorkerDown(worker) => {
+                self.ledger.close(&worker)
+            }
             Event::Queued(job) => {
                 self.queue.insert((job.since, job.id.clone()), job);
             }
