--- a/standin/src/measure/baseline.rs
+++ b/standin/src/measure/baseline.rs
@@ -168,7 +168,7 @@
             Event::Teams(teams) => self.teams = teams,
             Event::WorkerUp(spec) => self.ledger.add(spec),
             Event::WorkerQuarantined(worker) | Event::WorkerLeaving(worker) | Event::WorkerDown(worker) => {
-                self.ledger.close(&worker)
+                self.ledger.close(&worker);
             }
             Event::Queued(job) => {
                 self.queue.insert((job.since, job.id.clone()), job);
