Judge a shape only once the workers are known

Cause: after a takeover a waiting gang was ended as not_run, impossible: the new planner had heard from no worker yet, and on a process older than 10 s the decision core's quiet time for joining workers had already passed. Change: no decision before each listed worker has answered or is down; a worker that is down or leaving at takeover is told to the core with its size, so that what fits only there waits. Ruled out: a longer quiet time in the core, since it depends on when the clock began.

--- a/src/planner/controller.rs
+++ b/src/planner/controller.rs
@@ -236,7 +236,7 @@
             }
         }
         self.commit(now, changes, progress)?;
-        if !view.live || now < self.quiet_until {
+        if !view.live || now < self.quiet_until || !self.fleet.is_known(now) {
             return Ok(());
         }
         let changes = self.decide(now)?;
--- a/src/planner/fleet.rs
+++ b/src/planner/fleet.rs
@@ -13,6 +13,8 @@
 /// What the decision core was last told of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Shown {
+    /// Nothing yet.
+    No,
     Up,
     Leaving,
     Down,
@@ -57,7 +59,7 @@
             let standing = self.standings.entry(worker.name.clone()).or_insert_with(|| Standing {
                 listed: worker.clone(),
                 present: true,
-                shown: Shown::Down,
+                shown: Shown::No,
             });
             standing.present = true;
             standing.listed.presence = worker.presence;
@@ -65,34 +67,50 @@
         }
         self.standings
             .values_mut()
-            .filter_map(|standing| standing.update(now, &self.contacts))
+            .flat_map(|standing| standing.update(now, &self.contacts))
             .collect()
     }
 }
 
+impl Fleet {
+    /// Whether every listed worker has answered once, or is down. Before that, a shape that fits nowhere says nothing.
+    pub fn is_known(&self, now: Millis) -> bool {
+        let known = |contact: &Contact| contact.boot.is_some() || contact.is_down(now);
+        !self.standings.is_empty()
+            && self
+                .standings
+                .keys()
+                .filter_map(|name| self.contacts.get(name))
+                .all(known)
+    }
+}
+
 impl Standing {
-    fn update(&mut self, now: Millis, contacts: &BTreeMap<WorkerName, Contact>) -> Option<Event> {
-        let name = &self.listed.name;
-        let contact = contacts.get(name)?;
-        let wanted = match (
-            contact.is_down(now) || contact.boot.is_none(),
-            self.present,
-            self.listed.presence,
-        ) {
-            (true, _, _) => Shown::Down,
-            (false, true, Presence::Live) => Shown::Up,
-            (false, _, _) => Shown::Leaving,
+    fn update(&mut self, now: Millis, contacts: &BTreeMap<WorkerName, Contact>) -> Vec<Event> {
+        let name = self.listed.name.clone();
+        let Some(contact) = contacts.get(&name) else {
+            return Vec::new();
+        };
+        let wanted = match (contact.is_down(now), contact.boot, self.present, self.listed.presence) {
+            (true, ..) => Shown::Down,
+            (false, None, ..) => self.shown,
+            (false, Some(_), true, Presence::Live) => Shown::Up,
+            (false, Some(_), ..) => Shown::Leaving,
         };
-        if wanted == self.shown {
-            return None;
-        }
         let before = std::mem::replace(&mut self.shown, wanted);
-        match (before, wanted) {
-            // A worker that was never shown as up is not worth telling of.
-            (Shown::Down, Shown::Leaving) => None,
-            (_, Shown::Up) => Some(Event::WorkerUp((&self.listed).into())),
-            (_, Shown::Leaving) => Some(Event::WorkerLeaving(name.clone())),
-            (_, Shown::Down) => Some(Event::WorkerDown(name.clone())),
+        if wanted == before {
+            return Vec::new();
+        }
+        let mut events = Vec::new();
+        // The core must know the size of a worker that is down or leaving: a job that fits only there is not impossible.
+        if before == Shown::No || wanted == Shown::Up {
+            events.push(Event::WorkerUp((&self.listed).into()));
+        }
+        match wanted {
+            Shown::No | Shown::Up => {}
+            Shown::Leaving => events.push(Event::WorkerLeaving(name)),
+            Shown::Down => events.push(Event::WorkerDown(name)),
         }
+        events
     }
 }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -261,3 +261,48 @@
     assert_eq!(during, None);
     assert!(answer(&platform, &id).is_some());
 }
+
+/// Guards against a new planner that ends a waiting job as impossible because it has not heard from its workers yet.
+#[test]
+fn successor_does_not_judge_before_it_knows_its_workers() {
+    let platform = platform(4);
+    platform.clock.advance(Millis::from_secs(60));
+    let id = submit(&platform, "j", gang(4, 1000));
+    let mut host = Host::start(&platform, "i0");
+    host.link.set_hook(|point| {
+        if point.worker.is_some() {
+            Fault::Cut
+        } else {
+            Fault::None
+        }
+    });
+    host.run_for(Millis::from_secs(1)).expect("not fenced");
+    let early = outcome(&platform, &id);
+    host.link.set_hook(|_| Fault::None);
+
+    host.run_for(Millis::from_secs(10)).expect("not fenced");
+
+    assert_eq!(early, None);
+    assert!(answer(&platform, &id).is_some(), "{:?}", job(&platform, &id));
+}
+
+/// Guards against a job that is ended as impossible because the rack that it needs is down for a while.
+#[test]
+fn lost_rack_does_not_make_a_job_impossible() {
+    let platform = platform(4);
+    for index in 0..4 {
+        platform.with_worker(&name(&format!("w{index}")), standin::worker::Worker::kill);
+    }
+    let id = submit(&platform, "j", gang(4, 1000));
+    let mut host = Host::start(&platform, "i0");
+    host.run_for(Millis::from_secs(60)).expect("not fenced");
+    let during = outcome(&platform, &id);
+    for index in 0..4 {
+        platform.with_worker(&name(&format!("w{index}")), standin::worker::Worker::restart);
+    }
+
+    host.run_for(Millis::from_secs(30)).expect("not fenced");
+
+    assert_eq!(during, None);
+    assert!(answer(&platform, &id).is_some(), "{:?}", job(&platform, &id));
+}
