Carry out calls, at most once where asked

Cause: nothing sent calls to workers or resolved doubt about whether they ran. Change: Calls drives one call by steps of at most one worker request. Idempotent calls write nothing and are retried on other workers within the budget; others write row and mark before they are sent, and a new attempt needs proof that the last one was not started. recover ends calls that their senders left open. Assembly puts parts in order. CallRequest and Phase::Sent gain the worker's boot: a restarted worker refuses calls it has run or refused before, so a refusal is proof only from the boot that the call was meant for, and a worker refuses calls for another boot. Ruled out: a refusal alone as proof, which ran a call twice after a worker restart; ending a call as not run in memory only. Conclusion: one and two lost requests, dead and frozen senders and restarted workers leave true answers in the stand-ins.

--- a/src/accept/error.rs
+++ b/src/accept/error.rs
@@ -34,16 +34,20 @@
     #[error("There is no job `{0}`.")]
     Absent(JobId),
     /// Too many jobs wait, or the write limit is reached.
-    #[error("Too much is waiting at the moment. Nothing was run; send the same request again later.")]
+    #[error("Too much is waiting at the moment. This request was not run; send it again later with the same id.")]
     Busy,
     /// The instance is shutting down.
-    #[error("This instance is shutting down. Nothing was run; send the same request again.")]
+    #[error("This instance is shutting down. This request was not run; send it again with the same id.")]
     Draining,
     /// No live session, so the configuration in force is not known here.
-    #[error("Requests cannot be accepted here at the moment. Nothing was run; send the same request again.")]
+    #[error(
+        "Requests cannot be accepted here at the moment. This request was not run; send it again with the same id."
+    )]
     NoSession,
     /// The table failed before anything was written.
-    #[error("The request cannot be stored at the moment ({0}). Nothing was run; send the same request again.")]
+    #[error(
+        "The request cannot be stored at the moment ({0}). This request was not run; send it again with the same id."
+    )]
     Table(TableError),
     /// A row cannot be looked up.
     #[error("The job cannot be looked up at the moment ({0}). Ask again.")]
--- /dev/null
+++ b/src/call/assembly.rs
@@ -0,0 +1,90 @@
+//! The parts of an answer.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::job::Outcome;
+use crate::name::JobId;
+use crate::platform::CallPart;
+
+/// Most parts of an answer; a worker that sends more is at fault.
+const PARTS_MAX: u32 = 65_536;
+
+/// Collects the parts of one attempt's answer, in any order of arrival.
+#[derive(Debug, Clone)]
+pub struct Assembly {
+    job: JobId,
+    attempt: u32,
+    parts: BTreeMap<u32, CallPart>,
+    /// Number of parts, once the last one has come.
+    count: Option<u32>,
+}
+
+impl Assembly {
+    /// An answer of which nothing has come yet.
+    pub fn new(job: JobId, attempt: u32) -> Self {
+        Self {
+            job,
+            attempt,
+            parts: BTreeMap::new(),
+            count: None,
+        }
+    }
+
+    /// Takes a part; false if it is dropped, because it belongs to another job or attempt, is repeated, or does not
+    /// agree with which part is the last.
+    pub fn add(&mut self, part: CallPart) -> bool {
+        let sequence = part.sequence;
+        if part.job != self.job || part.attempt != self.attempt || sequence >= PARTS_MAX {
+            return false;
+        }
+        if self.parts.contains_key(&sequence) || self.count.is_some_and(|count| sequence >= count) {
+            return false;
+        }
+        if part.last {
+            let beyond = self.parts.keys().next_back().is_some_and(|newest| *newest > sequence);
+            if self.count.is_some() || beyond {
+                return false;
+            }
+            self.count = Some(sequence + 1);
+        }
+        self.parts.insert(sequence, part);
+        true
+    }
+
+    /// The outcome, once every part has come: the data of a single part, or a list of the data of several.
+    pub fn finish(self) -> Option<Outcome> {
+        if self.parts.len() != usize::try_from(self.count?).ok()? {
+            return None;
+        }
+        let mut data = Vec::with_capacity(self.parts.len());
+        for part in self.parts.into_values() {
+            if part.failed {
+                let reason = match part.data {
+                    Value::String(text) => text,
+                    other => other.to_string(),
+                };
+                return Some(Outcome::Failed { reason });
+            }
+            data.push(part.data);
+        }
+        let answer = match data.len() {
+            1 => data.remove(0),
+            _ => Value::Array(data),
+        };
+        Some(Outcome::Completed { answer })
+    }
+
+    /// The outcome of parts that have all been received, if they are the whole answer.
+    pub fn of<I>(job: &JobId, attempt: u32, parts: I) -> Option<Outcome>
+    where
+        I: IntoIterator<Item = CallPart>,
+    {
+        let mut assembly = Self::new(job.clone(), attempt);
+        for part in parts {
+            assembly.add(part);
+        }
+        assembly.finish()
+    }
+}
--- /dev/null
+++ b/src/call/calls.rs
@@ -0,0 +1,209 @@
+//! The controller for calls.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use sha2::{Digest, Sha256};
+
+use super::guard::{Flights, Reserved};
+use super::stage::Stage;
+use super::{CALL_DEADLINE, CALL_DEADLINE_MAX, Call, CallError, Progress};
+use crate::accept::{AcceptError, check_spec, parse};
+use crate::job::Class;
+use crate::member::Member;
+use crate::name::{JobId, WorkerName};
+use crate::platform::{Address, Key, Objects, Report, Table, WorkerError, Workers};
+use crate::route::{Backend, Router};
+use crate::row::{OpIds, digest};
+use crate::session::Session;
+use crate::time::Millis;
+
+/// Lowest bits of an idempotent call's attempt, which count its tries.
+const TRY_BITS: u32 = 4;
+
+/// Carries out calls.
+#[derive(Debug)]
+pub struct Calls {
+    pub(super) session: Arc<Session>,
+    pub(super) member: Arc<Member>,
+    pub(super) router: Arc<Mutex<Router>>,
+    pub(super) table: Arc<dyn Table>,
+    pub(super) objects: Arc<dyn Objects>,
+    pub(super) workers: Arc<dyn Workers>,
+    pub(super) ops: Arc<OpIds>,
+    pub(super) flights: Flights,
+    /// Boots of workers, as last reported. An old one makes a worker refuse a call, which is safe.
+    boots: Mutex<BTreeMap<WorkerName, u64>>,
+    /// Key after which the next look for abandoned calls goes on.
+    pub(super) cursor: Mutex<Option<Key>>,
+}
+
+impl Calls {
+    /// A controller; the router is shared with whoever tells it about workers.
+    pub fn new(
+        session: Arc<Session>,
+        member: Arc<Member>,
+        router: Arc<Mutex<Router>>,
+        table: Arc<dyn Table>,
+        objects: Arc<dyn Objects>,
+        workers: Arc<dyn Workers>,
+        ops: Arc<OpIds>,
+    ) -> Self {
+        Self {
+            session,
+            member,
+            router,
+            table,
+            objects,
+            workers,
+            ops,
+            flights: Flights::default(),
+            boots: Mutex::default(),
+            cursor: Mutex::default(),
+        }
+    }
+
+    pub(super) fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn boots(&self) -> MutexGuard<'_, BTreeMap<WorkerName, u64>> {
+        self.boots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Non-idempotent calls that this process carries out.
+    pub fn in_flight(&self) -> usize {
+        self.flights.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// Tells the router which workers and instances there are now.
+    pub fn update_router(&self, now: Millis, quarantined: &BTreeSet<WorkerName>) {
+        let workers = self.member.workers();
+        let backends = workers.values().map(|known| Backend {
+            name: known.listed.name.clone(),
+            slots: known.listed.slots,
+            connections: known.listed.connections,
+            open: known.is_open() && !quarantined.contains(&known.listed.name),
+        });
+        let instances = self.member.live(now).len();
+        let live = self.session.is_live(now);
+        let mut router = self.router();
+        router.set_workers(backends);
+        // While the table is down all sessions look lapsed, but the other instances still make calls.
+        if live {
+            router.set_instances(instances);
+        }
+    }
+
+    /// Takes in a worker's report.
+    pub fn note_report(&self, now: Millis, report: &Report) {
+        self.boots().insert(report.worker.clone(), report.boot);
+        self.router().reported(now, &report.worker, u32::from(report.calls));
+    }
+
+    /// Asks a worker for its boot.
+    pub(super) fn ask_boot(&self, worker: &WorkerName, address: Address) -> Result<u64, WorkerError> {
+        let report = self.workers.report(address)?;
+        if report.worker != *worker {
+            return Err(WorkerError::Unreached(format!("{} answers there", report.worker)));
+        }
+        self.boots().insert(worker.clone(), report.boot);
+        Ok(report.boot)
+    }
+
+    /// A worker's boot, as last reported.
+    pub(super) fn boot(&self, worker: &WorkerName, address: Address) -> Result<u64, WorkerError> {
+        let known = self.boots().get(worker).copied();
+        match known {
+            Some(boot) => Ok(boot),
+            None => self.ask_boot(worker, address),
+        }
+    }
+
+    pub(super) fn forget_boot(&self, worker: &WorkerName) {
+        self.boots().remove(worker);
+    }
+
+    /// Reserves a slot on a worker that is live, as far as is known now.
+    pub(super) fn pick(&self, now: Millis, avoid: &mut Vec<WorkerName>) -> Option<Reserved> {
+        let workers = self.member.workers();
+        loop {
+            let worker = self.router().pick(now, avoid)?;
+            let known = workers.get(&worker).filter(|known| known.is_open());
+            let address = known.map(|known| known.listed.address);
+            match address {
+                Some(address) => return Some(Reserved::new(&self.router, worker, address, now)),
+                // Dropping the reservation gives the slot back.
+                None => drop(Reserved::new(
+                    &self.router,
+                    worker.clone(),
+                    ([0, 0, 0, 0], 0).into(),
+                    now,
+                )),
+            }
+            avoid.push(worker);
+        }
+    }
+
+    /// Reads and checks a call. [`Calls::step`] does the rest.
+    pub fn begin(&self, now: Millis, id: &JobId, body: &[u8], trace: Option<&str>) -> Result<Call, CallError> {
+        let spec = parse(body)?;
+        if spec.class != Class::Call {
+            let sentence = "A batch job cannot be carried out as a call.".to_owned();
+            return Err(AcceptError::NotAllowed(sentence).into());
+        }
+        let stage = if spec.idempotent {
+            if self.session.is_draining() {
+                return Err(AcceptError::Draining.into());
+            }
+            check_spec(&self.session.cached(), &spec)?;
+            Stage::Try
+        } else {
+            Stage::Look
+        };
+        let declared = Millis(spec.deadline_s.saturating_mul(1000));
+        let time = match declared {
+            Millis::ZERO => CALL_DEADLINE,
+            declared => declared.min(CALL_DEADLINE_MAX),
+        };
+        // Workers know answers by job and attempt. Nothing tells a repeated id with another body from the same request,
+        // so each idempotent request has attempts of its own.
+        let unique = Sha256::digest(self.ops.next().0.as_bytes());
+        let base = u32::from_be_bytes([unique[0], unique[1], unique[2], unique[3]]) >> TRY_BITS << TRY_BITS;
+        Ok(Call {
+            id: id.clone(),
+            spec,
+            digest: digest(body),
+            trace: trace.map(str::to_owned),
+            deadline: now + time,
+            stage,
+            avoid: Vec::new(),
+            tries: 0,
+            base,
+            lost: false,
+            flight: None,
+            reserved: None,
+            opened: Vec::new(),
+            found: false,
+            unstarted: None,
+            known: None,
+        })
+    }
+
+    /// Goes on with a call. An error means that it was not run, and ends it.
+    pub fn step(&self, now: Millis, call: &mut Call) -> Result<Progress, CallError> {
+        match std::mem::replace(&mut call.stage, Stage::Look) {
+            Stage::Try => self.try_once(now, call),
+            Stage::Tried { reserved, received } => Ok(call.judge_try(now, reserved, &received)),
+            Stage::Look => self.look(now, call),
+            Stage::Send { stored, reserved } => Ok(self.send(now, call, stored, reserved)),
+            Stage::Judge {
+                stored,
+                reserved,
+                received,
+            } => Ok(self.judge(now, call, stored, reserved, received)),
+            Stage::Doubt { stored } => Ok(self.doubt(now, call, stored)),
+            Stage::Close { stored, outcome } => Ok(self.close(now, call, stored, outcome)),
+        }
+    }
+}
--- /dev/null
+++ b/src/call/idempotent.rs
@@ -0,0 +1,81 @@
+//! Calls that may run twice.
+
+use super::guard::Reserved;
+use super::stage::{Received, Stage};
+use super::{Assembly, Call, CallError, Calls, Progress, TRIES_MAX};
+use crate::job::{NotRunReason, Outcome};
+use crate::platform::{CallRequest, WorkerError};
+use crate::route::CallResult;
+use crate::time::Millis;
+
+impl Call {
+    /// The request for one attempt.
+    pub(super) fn request(&self, now: Millis, attempt: u32, boot: Option<u64>) -> CallRequest {
+        CallRequest {
+            job: self.id.clone(),
+            attempt,
+            team: self.spec.team.clone(),
+            kind: self.spec.kind.clone(),
+            boot,
+            deadline_ms: self.deadline.since(now).0,
+            trace: self.trace.clone(),
+            payload: self.spec.payload.clone(),
+        }
+    }
+
+    /// Takes what came back for an idempotent call.
+    pub(super) fn judge_try(&mut self, now: Millis, reserved: Reserved, received: &Received) -> Progress {
+        let attempt = self.base + self.tries - 1;
+        let outcome = match received {
+            Ok(parts) => Assembly::of(&self.id, attempt, parts.iter().cloned()),
+            Err(_) => None,
+        };
+        let worker = reserved.worker.clone();
+        self.lost |= received.as_ref().map_or_else(|error| !error.is_unstarted(), |_| true);
+        reserved.finish(now, result_of(received, outcome.is_some()));
+        if let Some(outcome) = outcome {
+            return self.done(self.tries, vec![worker], outcome);
+        }
+        self.avoid.push(worker);
+        self.stage = Stage::Try;
+        Progress::Again
+    }
+}
+
+/// What a call's result says about its worker.
+pub(super) fn result_of(received: &Received, whole: bool) -> CallResult {
+    match received {
+        Ok(_) if whole => CallResult::Answered,
+        Ok(_) | Err(WorkerError::Lost(_)) => CallResult::Failed,
+        Err(WorkerError::Full) => CallResult::Busy,
+        Err(WorkerError::Unreached(_)) => CallResult::Unreachable,
+        Err(WorkerError::Refused) => CallResult::Abandoned,
+    }
+}
+
+impl Calls {
+    /// Sends an idempotent call to a worker that has not failed it.
+    pub(super) fn try_once(&self, now: Millis, call: &mut Call) -> Result<Progress, CallError> {
+        if call.is_late(now) {
+            if call.lost {
+                return Ok(call.give_up("No worker answered in time"));
+            }
+            let message = "No worker took the call before its deadline.".to_owned();
+            let reason = NotRunReason::Deadline;
+            return Ok(call.done(0, Vec::new(), Outcome::NotRun { reason, message }));
+        }
+        let may_try = call.tries == 0 || (call.tries < TRIES_MAX && self.router().may_retry(now));
+        let reserved = if may_try { self.pick(now, &mut call.avoid) } else { None };
+        let Some(reserved) = reserved else {
+            if call.lost {
+                return Ok(call.give_up("The worker's answer was lost"));
+            }
+            return Err(CallError::Busy);
+        };
+        let request = call.request(now, call.base + call.tries, None);
+        call.tries += 1;
+        let received = self.workers.call(reserved.address, &request, call.deadline.since(now));
+        call.stage = Stage::Tried { reserved, received };
+        Ok(Progress::Again)
+    }
+}
--- /dev/null
+++ b/src/call/recover.rs
@@ -0,0 +1,86 @@
+//! Calls that their senders left open.
+
+use std::sync::PoisonError;
+
+use super::Calls;
+use super::guard::Flight;
+use super::probe::Verdict;
+use super::rows::Unwritten;
+use super::stage::sent;
+use crate::accept::{AcceptError, read_job};
+use crate::job::{NotRunReason, Outcome};
+use crate::member::owner_of;
+use crate::name::{InstanceName, JobId};
+use crate::platform::{Row, TableError};
+use crate::row::key;
+use crate::time::Millis;
+
+/// Marks that one look takes; each may cost two requests to a worker.
+const MARKS_MAX: usize = 16;
+
+/// Sender and call that a mark names.
+fn parse(row: &Row) -> Option<(InstanceName, JobId)> {
+    let (sender, id) = row.key.strip_prefix(key::OPEN)?.split_once('/')?;
+    Some((sender.parse().ok()?, id.parse().ok()?))
+}
+
+impl Calls {
+    /// Resolves some of the calls whose senders are gone, and those that this instance itself left open. Nothing is sent
+    /// anew: a call that was not started is ended as not run.
+    pub fn recover(&self, now: Millis) -> Result<(), AcceptError> {
+        if !self.session.is_live(now) {
+            return Ok(());
+        }
+        let after = self.cursor.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let page = self
+            .table
+            .scan(key::OPEN, after.as_deref(), MARKS_MAX)
+            .map_err(AcceptError::Unread)?;
+        *self.cursor.lock().unwrap_or_else(PoisonError::into_inner) = page.next;
+        let takers = self.member.takers(now);
+        for row in &page.rows {
+            let Some((sender, id)) = parse(row) else { continue };
+            if sender != *self.session.instance() {
+                let mine = owner_of(id.as_str(), &takers).as_ref() == Some(self.session.instance());
+                if !mine || self.member.lapsed(now, &sender).is_none() {
+                    continue;
+                }
+            }
+            let Some(_flight) = Flight::take(&self.flights, &id) else {
+                continue;
+            };
+            self.resolve(row, &sender, &id)?;
+        }
+        Ok(())
+    }
+
+    fn resolve(&self, mark: &Row, sender: &InstanceName, id: &JobId) -> Result<(), AcceptError> {
+        let stored = read_job(&*self.table, id)?;
+        let Some(stored) = stored.filter(|stored| sent(&stored.row).is_some_and(|(_, _, by)| by == sender)) else {
+            // The call has ended or was sent anew by another instance.
+            return match self.remove_mark(mark.key.clone(), mark.version) {
+                Ok(()) | Err(TableError::Conflict { .. }) => Ok(()),
+                Err(error) => Err(AcceptError::Table(error)),
+            };
+        };
+        let outcome = match self.probe(&stored.row) {
+            Verdict::Unstarted => Outcome::NotRun {
+                reason: NotRunReason::Refused,
+                message: "The instance that took the call stopped before a worker started it.".to_owned(),
+            },
+            Verdict::Ended(outcome) => outcome,
+            Verdict::Forgotten => Outcome::Unknown {
+                reason: "The worker restarted and cannot tell whether the call ran.".to_owned(),
+            },
+            Verdict::Gone => Outcome::Unknown {
+                reason: "The worker is gone and cannot tell whether the call ran.".to_owned(),
+            },
+            Verdict::Running | Verdict::Silent => return Ok(()),
+        };
+        match self.write_outcome(&stored, outcome) {
+            // Without the object store, the answer stays on the worker until a later look.
+            Ok(()) | Err(Unwritten::Table(TableError::Conflict { .. }) | Unwritten::Object(_)) => Ok(()),
+            Err(Unwritten::Table(error)) => Err(AcceptError::Table(error)),
+        }
+    }
+}
--- a/src/job/row.rs
+++ b/src/job/row.rs
@@ -38,6 +38,8 @@
     Sent {
         /// Worker it was sent to.
         worker: WorkerName,
+        /// Boot of that worker; a refusal proves nothing if it comes from another boot.
+        boot: u64,
         /// Instance that sent it.
         sender: InstanceName,
     },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod api;
+pub mod call;
 pub mod job;
 pub mod member;
 pub mod name;
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -216,6 +216,10 @@
     pub team: TeamName,
     /// Kind of job.
     pub kind: KindName,
+    /// Boot of the worker that the call is meant for; `None` for any. A restarted worker has forgotten which attempts it
+    /// refused and ran, so it must refuse a call that was meant for its earlier boot.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub boot: Option<u64>,
     /// Time left, in milliseconds.
     pub deadline_ms: u64,
     /// W3C `traceparent`.
--- a/src/row/key.rs
+++ b/src/row/key.rs
@@ -9,6 +9,8 @@
 pub const SESSIONS: &str = "session/";
 /// Prefix of all configuration rows.
 pub const CONFIG: &str = "config/";
+/// Prefix of all non-idempotent calls in flight.
+pub const OPEN: &str = "open/";
 /// Row with the number of the newest ticket.
 pub const HEAD: &str = "ticket/head";
 /// Prefix of all ticket log rows.
@@ -51,12 +53,12 @@
 
 /// Prefix of the non-idempotent calls that an instance has in flight.
 pub fn opens(instance: &InstanceName) -> Key {
-    format!("open/{instance}/")
+    format!("{OPEN}{instance}/")
 }
 
 /// Mark of a non-idempotent call in flight.
 pub fn open(instance: &InstanceName, id: &JobId) -> Key {
-    format!("open/{instance}/{id}")
+    format!("{OPEN}{instance}/{id}")
 }
 
 /// Log of a ticket; numbers are padded so that keys sort by number.
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -409,7 +409,7 @@
     /// Starts a call; when it ends, and the parts of its answer.
     pub fn call(&mut self, now: Millis, call: &CallRequest) -> Result<(Millis, Vec<CallPart>), WorkerError> {
         let key = (call.job.clone(), call.attempt);
-        if self.refused.contains(&key) {
+        if self.refused.contains(&key) || call.boot.is_some_and(|boot| boot != self.boot) {
             return Err(WorkerError::Refused);
         }
         if let Some(known) = self.calls.get(&key) {
--- /dev/null
+++ b/tests/control/call.rs
@@ -0,0 +1,181 @@
+//! Calls without faults between the instances, and idempotent calls.
+
+use serde_json::{Value, json};
+use standin::fake::{Fault, Side};
+use yuccaridge::api::{ApiError, JobState, JobView};
+use yuccaridge::call::CallError;
+use yuccaridge::job::Outcome;
+use yuccaridge::platform::{Presence, Step};
+
+use crate::world::{World, job};
+
+pub fn query(idempotent: bool, payload: &Value) -> Value {
+    let change = json!({"idempotent": idempotent, "deadline_s": 20, "payload": payload});
+    job("query", "call", &change)
+}
+
+pub fn answer(view: &JobView) -> &Value {
+    match &view.outcome {
+        Some(Outcome::Completed { answer }) => answer,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against table traffic of an idempotent call, and against an answer that lacks parts.
+#[test]
+fn an_idempotent_call_uses_no_table_and_returns_its_whole_answer() {
+    let (world, [a]) = World::ready(["a"]);
+    let before = world.platform.table.usage();
+
+    let view = a.call("j", &query(true, &json!({"answer": "x", "parts": 3}))).unwrap();
+
+    assert_eq!(answer(&view), &json!(["x", "x", "x"]));
+    assert_eq!(view.state, JobState::Ended);
+    assert_eq!(world.platform.table.usage(), before);
+}
+
+/// Guards against idempotent calls that stop with the table.
+#[test]
+fn an_idempotent_call_works_without_the_table() {
+    let (world, [a]) = World::ready(["a"]);
+    a.link.set_hook(|point| match point.worker {
+        Some(_) => Fault::None,
+        None => Fault::Cut,
+    });
+    world.run(&[&a], 10_000);
+
+    let view = a.call("j", &query(true, &json!({"answer": 1}))).unwrap();
+    let refused = ApiError::from(a.call("k", &query(false, &json!({}))).unwrap_err());
+
+    assert_eq!(answer(&view), &json!(1));
+    assert!(refused.not_run && refused.repeat);
+    assert_eq!(world.starts("k"), 0);
+}
+
+/// Guards against a lost answer that fails an idempotent call, and against a retry on the worker that lost it.
+#[test]
+fn an_idempotent_call_is_repeated_on_another_worker() {
+    for side in [Side::Before, Side::After] {
+        let (world, [a]) = World::ready(["a"]);
+        a.cut_at(Step::Send, side, 1);
+
+        let view = a.call("j", &query(true, &json!({"answer": 1}))).unwrap();
+
+        assert_eq!(answer(&view), &json!(1));
+        let record = world.platform.record();
+        let workers: std::collections::BTreeSet<_> = record.iter().map(|entry| &entry.worker).collect();
+        assert_eq!(workers.len(), if side == Side::After { 2 } else { 1 });
+    }
+}
+
+/// Guards against "not run" after an answer was lost, and against "unknown" when nothing was sent.
+#[test]
+fn an_idempotent_call_that_fails_everywhere_is_told_as_it_is() {
+    let (world, [a]) = World::ready(["a"]);
+    a.cut_at(Step::Send, Side::After, 9);
+    let lost = a.call("j", &query(true, &json!({}))).unwrap();
+    a.cut_at(Step::Send, Side::Before, 9);
+    let unsent = a.call("k", &query(true, &json!({}))).unwrap_err();
+
+    assert!(matches!(lost.outcome, Some(Outcome::Unknown { .. })));
+    assert_eq!(unsent, CallError::Busy);
+    assert!(ApiError::from(unsent).not_run);
+    assert_eq!(world.starts("k"), 0);
+}
+
+/// Guards against the answer of an earlier request with the same id, which a worker may have kept.
+#[test]
+fn a_repeated_id_of_an_idempotent_call_gets_its_own_answer() {
+    let (_world, [a]) = World::ready(["a"]);
+    for n in 0..10 {
+        let view = a.call("j", &query(true, &json!({"answer": n}))).unwrap();
+        assert_eq!(answer(&view), &json!(n));
+    }
+}
+
+/// Guards against calls to workers that leave or are not listed.
+#[test]
+fn a_leaving_worker_gets_no_calls() {
+    let (world, [a]) = World::ready(["a"]);
+    world.worker("w1", |worker, _| worker.listed_mut().presence = Presence::Leaving);
+    world.run(&[&a], 1500);
+
+    for n in 0..20 {
+        a.call(&format!("j{n}"), &query(n % 2 == 0, &json!({}))).unwrap();
+    }
+
+    let record = world.platform.record();
+    assert!(record.iter().all(|entry| entry.worker.as_str() == "w2"));
+}
+
+/// Guards against more than two commits, a start before the row is written, and a mark that stays.
+#[test]
+fn a_call_that_must_not_run_twice_is_written_before_it_is_sent() {
+    let (world, [a]) = World::ready(["a"]);
+    let before = world.platform.table.usage().commits;
+    let platform = std::sync::Arc::clone(&world.platform);
+    a.link.set_hook(move |point| {
+        if point.step == Step::Send && point.side == Side::Before {
+            let world = World {
+                platform: std::sync::Arc::clone(&platform),
+            };
+            assert_eq!(world.row("job/j").unwrap().value["phase"], "sent");
+            assert!(world.row("open/a/j").is_some());
+        }
+        Fault::None
+    });
+
+    let view = a.call("j", &query(false, &json!({"answer": 1}))).unwrap();
+    let commits = world.platform.table.usage().commits - before;
+    let again = a.call("j", &query(false, &json!({"answer": 1}))).unwrap();
+    let conflict = a.call("j", &query(false, &json!({"answer": 2}))).unwrap_err();
+
+    assert_eq!((answer(&view), commits), (&json!(1), 2));
+    assert_eq!(again.outcome, view.outcome);
+    assert_eq!(ApiError::from(conflict).code, yuccaridge::api::Code::JobConflict);
+    assert_eq!(world.starts("j"), 1);
+    assert!(world.row("open/a/j").is_none());
+}
+
+/// Guards against a large answer in a row, and against one that is lost while the object store is down.
+#[test]
+fn a_large_answer_survives_an_outage_of_the_object_store() {
+    let (world, [a]) = World::ready(["a"]);
+    let large = "x".repeat(20_000);
+    let body = query(false, &json!({"answer": large}));
+    let stored = a.call("j", &body).unwrap();
+    a.cut_at(Step::Object, Side::Before, 100_000);
+    let unstored = a.call("k", &body).unwrap();
+    let phase = world.row("job/k").unwrap().value["phase"].clone();
+    a.mend();
+    world.run(&[&a], 1000);
+
+    assert_eq!(answer(&stored), &json!(large));
+    assert_eq!((answer(&unstored), phase), (&json!(large), json!("sent")));
+    for id in ["j", "k"] {
+        let row = world.row(&format!("job/{id}")).unwrap().value;
+        assert!(row["outcome"]["answer"].is_null() && row["stored"].is_string(), "{id}");
+        assert_eq!(answer(&a.call(id, &body).unwrap()), &json!(large));
+        assert_eq!(world.starts(id), 1);
+    }
+}
+
+/// Guards against two threads of one process that carry the same call out.
+#[test]
+fn a_call_is_carried_out_once_in_a_process() {
+    let (world, [a]) = World::ready(["a"]);
+    let body = query(false, &json!({"answer": 1}));
+    let mut first = a.begin("j", &body).unwrap();
+    let mut second = a.begin("j", &body).unwrap();
+
+    a.calls.step(a.now(), &mut first).unwrap();
+    for _ in 0..10 {
+        let progress = a.calls.step(a.now(), &mut second).unwrap();
+        assert!(matches!(progress, yuccaridge::call::Progress::Wait(_)));
+    }
+    a.finish(&mut first, &[&a]).unwrap();
+    drop(first);
+
+    assert_eq!(answer(&a.finish(&mut second, &[&a]).unwrap()), &json!(1));
+    assert_eq!(world.starts("j"), 1);
+}
--- /dev/null
+++ b/tests/control/doubt.rs
@@ -0,0 +1,259 @@
+//! Calls that must not run twice, under faults.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use serde_json::{Value, json};
+use standin::fake::{Fault, Side};
+use standin::worker::Worker;
+use yuccaridge::api::{ApiError, JobState, JobView};
+use yuccaridge::call::CallError;
+use yuccaridge::job::Outcome;
+use yuccaridge::name::WorkerName;
+use yuccaridge::platform::Step;
+use yuccaridge::time::Millis;
+
+use crate::call::{answer, query};
+use crate::world::{Node, World};
+
+fn body() -> Value {
+    query(false, &json!({"answer": 1}))
+}
+
+/// Compares what a caller was told with what the workers did.
+fn check_truth(world: &World, told: &Result<JobView, CallError>, context: &str) {
+    let starts = world.starts("j");
+    assert!(starts <= 1, "{context}: started {starts} times");
+    match told {
+        Ok(view) => match view.outcome.as_ref().unwrap() {
+            Outcome::Completed { .. } => assert_eq!(starts, 1, "{context}: completed without a start"),
+            Outcome::NotRun { .. } => assert_eq!(starts, 0, "{context}: started, but told as not run"),
+            Outcome::Unknown { .. } => {}
+            other => panic!("{context}: {other:?}"),
+        },
+        Err(error) => assert!(
+            starts == 0 || !ApiError::from(error.clone()).not_run,
+            "{context}: {error}"
+        ),
+    }
+}
+
+/// Lets the table settle and checks that the row says the same as the caller was told.
+fn check_row(world: &World, node: &Node, told: &Result<JobView, CallError>, context: &str) {
+    node.mend();
+    world.run(&[node], 6000);
+    let Some(row) = world.row("job/j") else {
+        assert!(told.is_err(), "{context}: told {told:?} without a row");
+        return;
+    };
+    assert_eq!(row.value["phase"], "ended", "{context}");
+    for sender in ["a", "b"] {
+        assert!(
+            world.row(&format!("open/{sender}/j")).is_none(),
+            "{context}: mark of {sender}"
+        );
+    }
+    if let Ok(view) = told
+        && let Some(outcome) = view.outcome.as_ref().filter(|outcome| outcome.is_final())
+    {
+        let known = node.call("j", &body()).unwrap();
+        assert_eq!(known.outcome.as_ref(), Some(outcome), "{context}");
+    }
+}
+
+const STEPS: [Step; 7] = [
+    Step::Read,
+    Step::Open,
+    Step::Send,
+    Step::Refuse,
+    Step::Report,
+    Step::Close,
+    Step::Object,
+];
+
+/// Guards against a second run and a wrong answer when requests of any step are lost, before or after their effect.
+#[test]
+fn any_lost_request_leaves_a_true_answer() {
+    for step in STEPS {
+        for side in [Side::Before, Side::After] {
+            for times in [1, 2, 3, 1000] {
+                let (world, [a]) = World::ready(["a"]);
+                a.cut_at(step, side, times);
+                let context = format!("{step:?} {side:?} {times}");
+
+                let told = a.call("j", &body());
+
+                check_truth(&world, &told, &context);
+                check_row(&world, &a, &told, &context);
+            }
+        }
+    }
+}
+
+/// Guards against a second run and a wrong answer when two steps lose requests at once.
+#[test]
+fn two_lost_requests_leave_a_true_answer() {
+    for (first, second) in STEPS.iter().flat_map(|step| STEPS.map(|other| (*step, other))) {
+        for sides in 0..4 {
+            let side = |bit: u8| if sides & bit == 0 { Side::Before } else { Side::After };
+            let left = [AtomicU64::new(1), AtomicU64::new(1)];
+            let points = [(first, side(1)), (second, side(2))];
+            let (world, [a]) = World::ready(["a"]);
+            a.link.set_hook(move |point| {
+                for (wanted, left) in points.iter().zip(&left) {
+                    if (point.step, point.side) == *wanted && left.swap(0, Ordering::Relaxed) == 1 {
+                        return Fault::Cut;
+                    }
+                }
+                Fault::None
+            });
+            let context = format!("{first:?} {second:?} {sides}");
+
+            let told = a.call("j", &body());
+
+            check_truth(&world, &told, &context);
+            check_row(&world, &a, &told, &context);
+        }
+    }
+}
+
+/// Guards against a call that stays open, runs twice or is told wrongly when its instance dies after any request and
+/// the caller asks another instance.
+#[test]
+fn a_repeated_id_is_resolved_by_another_instance() {
+    for requests in 0..10 {
+        for wait in [0, 6000] {
+            let (world, [a, b]) = World::ready(["a", "b"]);
+            a.die_after(requests);
+            let mut call = a.begin("j", &body()).unwrap();
+            while a.calls.step(a.now(), &mut call) == Ok(yuccaridge::call::Progress::Again) {}
+            world.run(&[&b], wait);
+            let context = format!("dead after {requests}, repeated after {wait}");
+
+            let mut repeat = b.begin("j", &body()).unwrap();
+            let told = b.finish(&mut repeat, &[&b]);
+
+            check_truth(&world, &told, &context);
+            assert!(told.unwrap().outcome.unwrap().is_final(), "{context}");
+        }
+    }
+}
+
+/// Guards against calls that stay open for ever when nobody asks again.
+#[test]
+fn abandoned_calls_are_resolved_without_a_repeat() {
+    for requests in 0..10 {
+        let (world, [a, b]) = World::ready(["a", "b"]);
+        a.die_after(requests);
+        let mut call = a.begin("j", &body()).unwrap();
+        while a.calls.step(a.now(), &mut call) == Ok(yuccaridge::call::Progress::Again) {}
+        world.run(&[&b], 8000);
+
+        let starts = world.starts("j");
+        assert!(world.row("open/a/j").is_none());
+        let Some(row) = world.row("job/j") else { continue };
+        let expected = if starts == 1 { "completed" } else { "not_run" };
+        assert_eq!(row.value["outcome"]["outcome"], expected, "dead after {requests}");
+    }
+}
+
+/// Lets the sessions of all silent instances lapse for `other`, which then carries the call out or ends it.
+fn take_over(other: &Node, repeat: bool) -> Outcome {
+    for _ in 0..60 {
+        let _ = other.session.step(other.now());
+        let _ = other.member.step(other.now());
+        other.platform.clock.advance(Millis(100));
+    }
+    if !repeat {
+        other.step();
+    }
+    other.call("j", &body()).unwrap().outcome.unwrap()
+}
+
+/// Guards against a second run when an instance is frozen right before it sends, and another one ends the call or
+/// carries it out meanwhile; also if the workers restart and forget that they refused.
+#[test]
+fn a_frozen_sender_cannot_start_a_call_that_moved_on() {
+    for (repeat, restart) in [(false, false), (false, true), (true, false), (true, true)] {
+        let (world, [a, b]) = World::ready(["a", "b"]);
+        let platform = Arc::clone(&world.platform);
+        let known = Arc::new(Mutex::new(None));
+        let other = Arc::clone(&known);
+        a.meanwhile(Step::Send, Side::Before, move || {
+            *other.lock().unwrap() = Some(take_over(&b, repeat));
+            for name in ["w1", "w2"] {
+                if restart {
+                    let name = WorkerName::new(name).unwrap();
+                    platform.with_worker(&name, Worker::restart);
+                }
+            }
+        });
+
+        let told = a.call("j", &body());
+
+        let context = format!("repeat {repeat}, restart {restart}");
+        check_truth(&world, &told, &context);
+        assert_eq!(told.unwrap().outcome, *known.lock().unwrap(), "{context}");
+        assert_eq!(world.starts("j"), usize::from(repeat), "{context}");
+    }
+}
+
+/// Guards against a refusal that is taken as proof although the worker restarted and forgot that it ran the call.
+#[test]
+fn a_restarted_worker_proves_nothing() {
+    let (world, [a]) = World::ready(["a"]);
+    let platform = Arc::clone(&world.platform);
+    let left = AtomicU64::new(1);
+    a.link.set_hook(move |point| {
+        if point.step != Step::Send || point.side != Side::After || left.swap(0, Ordering::Relaxed) == 0 {
+            return Fault::None;
+        }
+        platform.with_worker(point.worker.as_ref().unwrap(), Worker::restart);
+        Fault::Cut
+    });
+
+    let view = a.call("j", &body()).unwrap();
+
+    assert!(matches!(view.outcome, Some(Outcome::Unknown { .. })));
+    assert_eq!(world.starts("j"), 1);
+    let again = a.call("j", &body()).unwrap();
+    assert!(matches!(again.outcome, Some(Outcome::Unknown { .. })));
+    assert_eq!(world.starts("j"), 1);
+}
+
+/// Guards against an early "not run" or a second run while the worker still runs the call, and against an outcome that
+/// is not found later.
+#[test]
+fn a_call_that_runs_past_its_deadline_is_unknown_until_it_ends() {
+    let (world, [a]) = World::ready(["a"]);
+    let slow = query(false, &json!({"answer": 1, "work_ms": 30_000}));
+    a.cut_at(Step::Send, Side::After, 1);
+
+    let early = a.call("j", &slow).unwrap();
+    world.run(&[&a], 15_000);
+    let late = a.call("j", &slow).unwrap();
+
+    assert_eq!(early.state, JobState::Running);
+    assert!(matches!(early.outcome, Some(Outcome::Unknown { .. })));
+    assert_eq!((answer(&late), world.starts("j")), (&json!(1), 1));
+}
+
+/// Guards against a second run when two instances carry out the same id at once.
+#[test]
+fn two_instances_that_race_run_a_call_once() {
+    for side in [Side::Before, Side::After] {
+        let (world, [a, b]) = World::ready(["a", "b"]);
+        let other = Arc::clone(&b);
+        a.meanwhile(Step::Open, side, move || {
+            let mut call = other.begin("j", &body()).unwrap();
+            while other.calls.step(other.now(), &mut call) == Ok(yuccaridge::call::Progress::Again) {}
+        });
+
+        let told = a.call("j", &body());
+
+        check_truth(&world, &told, "race");
+        assert_eq!(answer(&told.unwrap()), &json!(1));
+        assert_eq!(answer(&b.call("j", &body()).unwrap()), &json!(1));
+        assert_eq!(world.starts("j"), 1);
+    }
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -1,15 +1,20 @@
 //! Fixtures: a platform and instances that are stepped by hand.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
 use serde_json::{Value, json};
 use standin::fake::{Fault, Link, Platform, Point, Side};
+use standin::record::Deed;
 use standin::worker::Worker;
 use yuccaridge::accept::Accept;
+use yuccaridge::api::JobView;
+use yuccaridge::call::{Call, CallError, Calls, Progress};
 use yuccaridge::member::Member;
 use yuccaridge::name::{DomainName, InstanceName, JobId, RackName, WorkerName};
 use yuccaridge::platform::{ListedWorker, Presence, Row, Step, Table};
+use yuccaridge::route::Router;
 use yuccaridge::row::OpIds;
 use yuccaridge::session::Session;
 use yuccaridge::ticket::{AnyFit, Tickets};
@@ -28,6 +33,7 @@
     pub member: Arc<Member>,
     pub tickets: Tickets,
     pub accept: Accept,
+    pub calls: Calls,
 }
 
 pub fn instance(name: &str) -> InstanceName {
@@ -76,6 +82,15 @@
             Arc::clone(&link) as _,
             Arc::clone(&ops),
         );
+        let calls = Calls::new(
+            Arc::clone(&session),
+            Arc::clone(&member),
+            Arc::new(Mutex::new(Router::new(7))),
+            Arc::clone(&table),
+            Arc::clone(&link) as _,
+            Arc::clone(&link) as _,
+            Arc::clone(&ops),
+        );
         Node {
             link,
             platform: Arc::clone(&self.platform),
@@ -83,6 +98,7 @@
             member,
             tickets,
             accept,
+            calls,
         }
     }
 
@@ -109,6 +125,22 @@
         (world, nodes)
     }
 
+    /// How often a job was started on any worker.
+    pub fn starts(&self, id: &str) -> usize {
+        let record = self.platform.record();
+        let starts = record.iter().filter(|entry| entry.deed == Deed::Started);
+        starts.filter(|entry| entry.job.as_str() == id).count()
+    }
+
+    /// Does something to a worker.
+    pub fn worker<F>(&self, name: &str, act: F)
+    where
+        F: FnOnce(&mut Worker, Millis),
+    {
+        let name = WorkerName::new(name).unwrap();
+        self.platform.with_worker(&name, act).unwrap();
+    }
+
     pub fn row(&self, key: &str) -> Option<Row> {
         self.platform.table.read(&[key.to_owned()]).unwrap().remove(0)
     }
@@ -144,6 +176,36 @@
         let _ = self.session.step(now);
         let _ = self.member.step(now);
         let _ = self.tickets.step(now);
+        self.calls.update_router(now, &BTreeSet::new());
+        let _ = self.calls.recover(now);
+    }
+
+    /// Starts a call.
+    pub fn begin(&self, id: &str, body: &Value) -> Result<Call, CallError> {
+        self.calls.begin(self.now(), &job_id(id), &bytes(body), None)
+    }
+
+    /// Carries a call on to its end; while it waits, time passes and these instances are stepped.
+    pub fn finish(&self, call: &mut Call, nodes: &[&Node]) -> Result<JobView, CallError> {
+        for _ in 0..2000 {
+            match self.calls.step(self.now(), call)? {
+                Progress::Again => {}
+                Progress::Wait(span) => {
+                    for node in nodes {
+                        node.step();
+                    }
+                    self.platform.clock.advance(span);
+                }
+                Progress::Done(view) => return Ok(*view),
+            }
+        }
+        panic!("the call of {} does not end", call.id());
+    }
+
+    /// Carries out a call.
+    pub fn call(&self, id: &str, body: &Value) -> Result<JobView, CallError> {
+        let mut call = self.begin(id, body)?;
+        self.finish(&mut call, &[self])
     }
 
     pub fn is_live(&self) -> bool {
--- a/tests/http/fixture.rs
+++ b/tests/http/fixture.rs
@@ -73,6 +73,7 @@
         attempt: 1,
         team: TeamName::new("t").unwrap(),
         kind: KindName::new("k").unwrap(),
+        boot: None,
         deadline_ms: 1000,
         trace: None,
         payload,
