--- a/src/instance/outage.rs
+++ b/src/instance/outage.rs
@@ -30,7 +30,10 @@
     /// Notes what a peer says of its ticket and its session.
     pub fn heard(&self, now: Millis, peer: InstanceName, ticket: u64, live: bool) {
         let heard = Heard { at: now, ticket, live };
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(peer, heard);
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(peer, heard);
     }
 
     /// Whether every one of these members but `me` said of late that it has this ticket and no live session.
--- a/src/instance/pools.rs
+++ b/src/instance/pools.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::member::Member;
-use crate::name::{InstanceName, JobId, PoolName, WorkerName};
+use crate::name::{InstanceName, JobId, PoolName, TeamName, WorkerName};
 use crate::plan::{Policy, Scheduler, Weights};
 use crate::planner::{Answer, Claim, Planner, PlannerError, Request, View};
 use crate::platform::{Check, ListedWorker, Objects, Presence, Table, TableError, Version, WorkerError};
@@ -55,6 +55,7 @@
     wakes: Vec<(PoolName, JobId)>,
     waiting: BTreeMap<PoolName, usize>,
     quarantined: BTreeMap<WorkerName, String>,
+    at_risk: BTreeMap<TeamName, String>,
     due: Millis,
 }
 
@@ -73,7 +74,9 @@
 
 impl fmt::Debug for Pools {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Pools").field("instance", self.session.instance()).finish_non_exhaustive()
+        f.debug_struct("Pools")
+            .field("instance", self.session.instance())
+            .finish_non_exhaustive()
     }
 }
 
@@ -87,7 +90,16 @@
         ops: Arc<OpIds>,
         weights: Weights,
     ) -> Self {
-        Self { session, member, table, objects, ops, weights, plans: Mutex::default(), state: Mutex::default() }
+        Self {
+            session,
+            member,
+            table,
+            objects,
+            ops,
+            weights,
+            plans: Mutex::default(),
+            state: Mutex::default(),
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -117,13 +129,22 @@
             }
         }
         let workers = self.open_workers();
-        let view = View { live, renew, catalog: &catalog, workers: &workers };
+        let view = View {
+            live,
+            renew,
+            catalog: &catalog,
+            workers: &workers,
+        };
         let mut progress = PoolProgress::default();
         plans.retain(|pool, plan| match plan.planner.step(now, view) {
             Ok(step) => {
                 let epoch = plan.planner.epoch();
                 let requests = step.requests.into_iter();
-                progress.requests.extend(requests.map(|request| PoolRequest { pool: pool.clone(), epoch, request }));
+                progress.requests.extend(requests.map(|request| PoolRequest {
+                    pool: pool.clone(),
+                    epoch,
+                    request,
+                }));
                 progress.ended.extend(step.ended);
                 true
             }
@@ -138,7 +159,11 @@
 
     fn summarize(&self, plans: &Plans) {
         let mut state = self.state();
-        state.waiting = plans.iter().map(|(pool, plan)| (pool.clone(), plan.planner.waiting())).collect();
+        state.waiting = plans
+            .iter()
+            .map(|(pool, plan)| (pool.clone(), plan.planner.waiting()))
+            .collect();
+        state.at_risk = plans.values().flat_map(|plan| plan.planner.at_risk()).collect();
         state.quarantined = plans.values().flat_map(|plan| plan.planner.quarantined()).collect();
     }
 
@@ -175,7 +200,9 @@
             if let Some((row, _)) = &found {
                 let mine = row.holder == *me && row.boot == self.session.boot();
                 if !mine && !row.is_vacant() {
-                    let Some(check) = self.member.takeover(now, row) else { continue };
+                    let Some(check) = self.member.takeover(now, row) else {
+                        continue;
+                    };
                     checks.push(check);
                 }
             }
@@ -199,7 +226,9 @@
         match Planner::claim(claim, policy, now) {
             Ok(planner) => {
                 log::info!("pool {pool}: planned here with epoch {}", planner.epoch());
-                self.state().holders.insert(pool.clone(), self.session.instance().clone());
+                self.state()
+                    .holders
+                    .insert(pool.clone(), self.session.instance().clone());
                 plans.insert(pool.clone(), Plan { planner, surplus: None });
             }
             Err(PlannerError::Fenced) => log::debug!("pool {pool}: another instance was faster"),
@@ -265,6 +294,11 @@
         self.state().waiting.clone()
     }
 
+    /// Teams whose guarantee the pools held here cannot meet in full now, with what is missing.
+    pub fn at_risk(&self) -> BTreeMap<TeamName, String> {
+        self.state().at_risk.clone()
+    }
+
     /// Workers in quarantine in the pools held here, with the reason.
     pub fn quarantined(&self) -> BTreeMap<WorkerName, String> {
         self.state().quarantined.clone()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,11 @@
 pub mod accept;
 pub mod api;
 pub mod call;
+pub mod config;
+pub mod instance;
 pub mod job;
 pub mod member;
+pub mod metric;
 pub mod name;
 pub mod plan;
 pub mod planner;
@@ -19,3 +22,4 @@
 pub mod team;
 pub mod ticket;
 pub mod time;
+pub mod trace;
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -29,8 +29,8 @@
 #[derive(Debug, Default)]
 struct State {
     sessions: BTreeMap<InstanceName, Observed>,
-    /// Whether the session rows were ever read.
-    scanned: bool,
+    /// When the session rows were last read.
+    scanned: Option<Millis>,
     workers: Arc<BTreeMap<WorkerName, KnownWorker>>,
     /// Instances that the list shows as leaving.
     leaving: BTreeSet<InstanceName>,
@@ -84,7 +84,7 @@
         }
         if sessions {
             match scan_all(&*self.table, key::SESSIONS, None) {
-                Ok(rows) => self.take_sessions(&rows),
+                Ok(rows) => self.take_sessions(now, &rows),
                 Err(error) => result = Err(error.into()),
             }
             self.state().sessions_due = now + SESSIONS_EVERY;
@@ -93,7 +93,7 @@
         result
     }
 
-    fn take_sessions(&self, rows: &[Row]) {
+    fn take_sessions(&self, now: Millis, rows: &[Row]) {
         let mut state = self.state();
         let mut sessions = BTreeMap::new();
         for row in rows {
@@ -111,7 +111,7 @@
             sessions.insert(name, observed);
         }
         state.sessions = sessions;
-        state.scanned = true;
+        state.scanned = Some(now);
     }
 
     fn take_list(&self, now: Millis, listed: Listed) {
@@ -160,6 +160,19 @@
         live.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Instances whose session had not lapsed when the rows were last read; during an outage, the last known members.
+    pub fn last_known(&self) -> Vec<InstanceName> {
+        let state = self.state();
+        let Some(scanned) = state.scanned else {
+            return Vec::new();
+        };
+        let members = state
+            .sessions
+            .iter()
+            .filter(|(_, observed)| !observed.has_lapsed(scanned));
+        members.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Live instances that may take pools: neither draining nor listed as leaving.
     pub fn takers(&self, now: Millis) -> Vec<InstanceName> {
         let state = self.state();
@@ -183,7 +196,7 @@
         let state = self.state();
         let version = match state.sessions.get(instance) {
             Some(observed) if observed.has_lapsed(now) => observed.version,
-            None if state.scanned => 0,
+            None if state.scanned.is_some() => 0,
             _ => return None,
         };
         Some(Check {
--- a/src/plan/event.rs
+++ b/src/plan/event.rs
@@ -4,6 +4,7 @@
 
 use crate::job::{Seat, Shape};
 use crate::name::{DomainName, JobId, KindName, RackName, TeamName, WorkerName};
+use crate::platform::ListedWorker;
 use crate::team::Team;
 use crate::time::Millis;
 
@@ -26,6 +27,20 @@
     pub slots: u16,
 }
 
+impl From<&ListedWorker> for WorkerSpec {
+    fn from(listed: &ListedWorker) -> Self {
+        Self {
+            name: listed.name.clone(),
+            rack: listed.rack.clone(),
+            domain: listed.domain.clone(),
+            cores: listed.cores,
+            memory_mb: listed.memory_mb,
+            accelerators: listed.accelerators,
+            slots: listed.slots,
+        }
+    }
+}
+
 /// A job that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueuedJob {
--- a/src/planner/fleet.rs
+++ b/src/planner/fleet.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use super::contact::Contact;
+use crate::accept::pool_holds;
 use crate::name::WorkerName;
-use crate::plan::{Event, WorkerSpec};
+use crate::plan::Event;
 use crate::platform::{ListedWorker, Presence};
 use crate::team::Pool;
 use crate::time::Millis;
@@ -45,7 +46,7 @@
             standing.present = false;
         }
         for worker in listed.values() {
-            if !is_member(pool, worker) {
+            if !pool_holds(pool, worker) {
                 continue;
             }
             let contact = self
@@ -89,25 +90,9 @@
         match (before, wanted) {
             // A worker that was never shown as up is not worth telling of.
             (Shown::Down, Shown::Leaving) => None,
-            (_, Shown::Up) => Some(Event::WorkerUp(self.spec())),
+            (_, Shown::Up) => Some(Event::WorkerUp((&self.listed).into())),
             (_, Shown::Leaving) => Some(Event::WorkerLeaving(name.clone())),
             (_, Shown::Down) => Some(Event::WorkerDown(name.clone())),
         }
     }
-
-    fn spec(&self) -> WorkerSpec {
-        WorkerSpec {
-            name: self.listed.name.clone(),
-            rack: self.listed.rack.clone(),
-            domain: self.listed.domain.clone(),
-            cores: self.listed.cores,
-            memory_mb: self.listed.memory_mb,
-            accelerators: self.listed.accelerators,
-            slots: self.listed.slots,
-        }
-    }
-}
-
-fn is_member(pool: &Pool, worker: &ListedWorker) -> bool {
-    pool.domains.contains(&worker.domain) && (pool.racks.is_empty() || pool.racks.contains(&worker.rack))
 }
--- a/standin/src/command/mod.rs
+++ b/standin/src/command/mod.rs
@@ -7,6 +7,7 @@
 use miette::{IntoDiagnostic, Result};
 use signal_hook::consts::TERM_SIGNALS;
 use signal_hook::iterator::Signals;
+use standin::measure::Measure;
 
 /// What to do.
 #[derive(Debug, Subcommand)]
@@ -15,6 +16,9 @@
     Platform(platform::PlatformOptions),
     /// Serve one or more workers.
     Worker(worker::WorkerOptions),
+    /// Measure the product's decisions in virtual time.
+    #[command(subcommand)]
+    Measure(Measure),
 }
 
 impl Command {
@@ -23,6 +27,7 @@
         match self {
             Self::Platform(options) => options.run(),
             Self::Worker(options) => options.run(),
+            Self::Measure(measure) => measure.run(),
         }
     }
 }
