--- a/src/instance/daemon.rs
+++ b/src/instance/daemon.rs
@@ -24,9 +24,6 @@
 /// Why an instance cannot start.
 #[derive(Debug, Error)]
 pub enum DaemonError {
-    /// An address of the platform cannot be used.
-    #[error("`{0}` is no address of the form http://IP:PORT")]
-    Address(String),
     /// The server for callers cannot start.
     #[error(transparent)]
     Server(#[from] ServerError),
@@ -47,12 +44,6 @@
     drain: Millis,
 }
 
-fn address(base: &str) -> Result<SocketAddr, DaemonError> {
-    base.strip_prefix("http://")
-        .and_then(|rest| rest.trim_end_matches('/').parse().ok())
-        .ok_or_else(|| DaemonError::Address(base.to_owned()))
-}
-
 fn timeouts(config: &Config, read_ms: u64) -> Timeouts {
     Timeouts {
         connect: Millis(config.timeouts.connect_ms),
@@ -70,14 +61,14 @@
     pub fn start(config: &Config) -> Result<Self, DaemonError> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
         let times = &config.timeouts;
-        let table = HttpTable::new(address(&config.platform.table)?, timeouts(config, times.table_ms));
+        let table = HttpTable::new(config.platform.table, timeouts(config, times.table_ms));
         let budget = TableBudget {
             writes: f64::from(config.budget.writes),
             reads: f64::from(config.budget.reads),
         };
         let table = Arc::new(Limited::new(table, Arc::clone(&clock), budget, 1));
-        let objects = HttpObjects::new(address(&config.platform.objects)?, timeouts(config, times.objects_ms));
-        let listing = HttpListing::new(address(&config.platform.list)?, timeouts(config, times.list_ms));
+        let objects = HttpObjects::new(config.platform.objects, timeouts(config, times.objects_ms));
+        let listing = HttpListing::new(config.platform.list, timeouts(config, times.list_ms));
         let core = Arc::new(Core::new(Parts {
             instance: config.instance.clone(),
             boot: boot(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod accept;
 pub mod api;
 pub mod call;
+pub mod client;
 pub mod config;
 pub mod instance;
 pub mod job;
+pub mod logging;
 pub mod member;
 pub mod metric;
 pub mod name;
