Accept while draining until the server stops

Cause: accept and call refused everything from the first second of a drain, in which the load balancer still sends requests; the server already refuses them once it stops. Change: the two checks are gone, with the error variant. Ruled out: a second draining flag in the controllers, since the server's gate is the one place that knows. Conclusion: a planned stop refuses fewer requests.

--- a/src/accept/error.rs
+++ b/src/accept/error.rs
@@ -36,9 +36,6 @@
     /// Too many jobs wait, or the write limit is reached.
     #[error("Too much is waiting at the moment. This request was not run; send it again later with the same id.")]
     Busy,
-    /// The instance is shutting down.
-    #[error("This instance is shutting down. This request was not run; send it again with the same id.")]
-    Draining,
     /// No live session, so the configuration in force is not known here.
     #[error(
         "Requests cannot be accepted here at the moment. This request was not run; send it again with the same id."
@@ -73,7 +70,6 @@
             Self::Conflict(_) => Code::JobConflict,
             Self::Absent(_) => Code::NotFound,
             Self::Busy => Code::Busy,
-            Self::Draining => Code::Draining,
             Self::NoSession | Self::Table(_) | Self::Unread(_) | Self::Answer(_) | Self::Format(_) => Code::Unavailable,
             Self::Unknown(_) => Code::Unknown,
         }
--- a/src/accept/state.rs
+++ b/src/accept/state.rs
@@ -112,9 +112,6 @@
         trace: Option<&str>,
     ) -> Result<JobView, Retry> {
         let spec = parse(body).map_err(Retry::Refused)?;
-        if self.session.is_draining() {
-            return Err(Retry::Refused(AcceptError::Draining));
-        }
         let basis = self.session.view(now).ok_or(Retry::Refused(AcceptError::NoSession))?;
         let pool = self.check(now, &basis, id, &spec).map_err(Retry::Refused)?;
         let row = JobRow {
--- a/src/call/calls.rs
+++ b/src/call/calls.rs
@@ -153,9 +153,6 @@
             return Err(AcceptError::NotAllowed(sentence).into());
         }
         let stage = if spec.idempotent {
-            if self.session.is_draining() {
-                return Err(AcceptError::Draining.into());
-            }
             check_spec(&self.session.cached(), &spec)?;
             Stage::Try
         } else {
--- a/src/call/once.rs
+++ b/src/call/once.rs
@@ -95,9 +95,6 @@
 
     /// Writes the first attempt.
     fn open(&self, now: Millis, call: &mut Call) -> Result<Progress, CallError> {
-        if self.session.is_draining() {
-            return Err(AcceptError::Draining.into());
-        }
         let basis = self.session.view(now).ok_or(AcceptError::NoSession)?;
         check_spec(&basis.catalog, &call.spec)?;
         if call.opened.len() >= OPENS_MAX || call.tries >= TRIES_MAX || call.is_late(now) {
