Connect instances in a mesh

Cause: a new job, an ended job and the state of the table must be known to the other instances before their next poll. Ruled out: one connection per pair, which needs a rule for who dials and saves only keepalives; a stale hint that passes for a fresh one, by a bound on age in the queue and on silence of a connection.

--- /dev/null
+++ b/examples/mesh.rs
@@ -0,0 +1,112 @@
+//! Measures what a full mesh costs: bytes on the connections and processor time for each instance, when every instance
+//! sends one message a second to all others.
+//!
+//! `cargo run --release --example mesh`
+
+use std::error::Error;
+use std::fs;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use yuccaridge::name::InstanceName;
+use yuccaridge::peer::{Event, Head, Hello, Mesh, Message, To};
+
+/// Time that a mesh is given to connect before it is measured.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Time for which it is measured.
+const MEASURED: Duration = Duration::from_secs(20);
+/// Ticks a second in which the kernel reports processor time.
+const TICKS: f64 = 100.0;
+/// IPv4 and TCP headers with timestamps. Each frame is one segment, and is acknowledged by one.
+const HEADER_BYTES: f64 = 52.0;
+
+fn cpu_seconds() -> Result<f64, Box<dyn Error>> {
+    let text = fs::read_to_string("/proc/self/stat")?;
+    let fields = text.rsplit(") ").next().unwrap_or_default();
+    let mut ticks = 0.0;
+    for field in fields.split(' ').skip(11).take(2) {
+        ticks += field.parse::<f64>()?;
+    }
+    Ok(ticks / TICKS)
+}
+
+struct Node {
+    mesh: Mesh,
+    events: flume::Receiver<Event>,
+}
+
+fn nodes(count: usize) -> Result<Vec<Node>, Box<dyn Error>> {
+    let mut nodes = Vec::new();
+    let mut peers = Vec::new();
+    for n in 0..count {
+        let instance = InstanceName::new(format!("instance-{n}"))?;
+        let me = Hello {
+            instance: instance.clone(),
+            boot: "1".to_owned(),
+        };
+        let (sender, events) = flume::bounded(1024);
+        let mesh = Mesh::start("127.0.0.1:0".parse()?, me, sender)?;
+        peers.push((instance, mesh.address()));
+        nodes.push(Node { mesh, events });
+    }
+    for node in &nodes {
+        node.mesh.set_peers(peers.clone());
+    }
+    Ok(nodes)
+}
+
+/// Sends and receives for this long; the number of messages received.
+fn exchange(nodes: &[Node], time: Duration) -> usize {
+    let mut received = 0;
+    let start = Instant::now();
+    let mut ticket = 0;
+    while start.elapsed() < time {
+        ticket += 1;
+        let head = Message::Head(Head {
+            ticket: 100_000 + ticket,
+            table: true,
+            session: true,
+        });
+        for node in nodes {
+            node.mesh.send(To::All, &head);
+        }
+        thread::sleep(Duration::from_secs(1));
+        for node in nodes {
+            received += node.events.drain().count();
+        }
+    }
+    received
+}
+
+fn totals(nodes: &[Node]) -> (u64, u64) {
+    let (mut frames, mut bytes) = (0, 0);
+    for node in nodes {
+        let counts = node.mesh.counts();
+        frames += counts.sent.frames;
+        bytes += counts.sent.bytes;
+    }
+    (frames, bytes)
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!("per instance:  sent B/s  frames/s  with headers and acknowledgements B/s  CPU of a core");
+    for count in [3, 6, 9] {
+        let nodes = nodes(count)?;
+        exchange(&nodes, WARM_UP);
+        let (frames, bytes) = totals(&nodes);
+        let (cpu, start) = (cpu_seconds()?, Instant::now());
+        let received = exchange(&nodes, MEASURED);
+        let seconds = start.elapsed().as_secs_f64() * count as f64;
+        let (cpu, after) = (cpu_seconds()? - cpu, totals(&nodes));
+        let (frames, bytes) = ((after.0 - frames) as f64 / seconds, (after.1 - bytes) as f64 / seconds);
+        println!(
+            "{count} instances:   {bytes:8.0}  {frames:8.1}  {:38.0}  {:12.3}%   ({received} messages received)",
+            bytes + frames * 2.0 * HEADER_BYTES,
+            100.0 * cpu / seconds,
+        );
+        for node in nodes {
+            node.mesh.stop();
+        }
+    }
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod metric;
 pub mod name;
+pub mod peer;
 pub mod plan;
 pub mod planner;
 pub mod platform;
--- a/src/metric/metrics.rs
+++ b/src/metric/metrics.rs
@@ -1,5 +1,6 @@
 //! The registry.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus_client::encoding::text;
@@ -11,6 +12,7 @@
 
 use super::{Direction, Outgoing, PoolLabel, RequestLabel, Result, StepLabel};
 use crate::name::PoolName;
+use crate::peer::Counts;
 use crate::platform::Step;
 
 /// All metrics of one instance.
@@ -22,6 +24,8 @@
     waiting: Family<PoolLabel, Gauge>,
     messages: Family<Outgoing, Counter>,
     bytes: Family<Outgoing, Counter>,
+    overrun: Counter,
+    rejected: Counter,
     calls: Histogram,
     sessions: Gauge,
     ticket: Gauge,
@@ -43,6 +47,8 @@
             waiting: Family::default(),
             messages: Family::default(),
             bytes: Family::default(),
+            overrun: Counter::default(),
+            rejected: Counter::default(),
             // 0.5 ms to 65 s: the added latency target is 1 ms, the longest call 60 s.
             calls: Histogram::new(exponential_buckets(0.0005, 2.0, 18)),
             sessions: Gauge::default(),
@@ -60,13 +66,23 @@
             "Jobs that wait, by pool planned here",
             metrics.waiting.clone(),
         );
-        registry.register("peer_messages", "Messages between instances", metrics.messages.clone());
+        registry.register("peer_messages", "Frames between instances", metrics.messages.clone());
         registry.register_with_unit(
             "peer",
             "Frames between instances, without TCP and IP headers",
             Unit::Bytes,
             metrics.bytes.clone(),
         );
+        registry.register(
+            "peer_overrun",
+            "Messages lost because this instance did not keep up",
+            metrics.overrun.clone(),
+        );
+        registry.register(
+            "peer_rejected",
+            "Peer connections closed because of what came on them",
+            metrics.rejected.clone(),
+        );
         registry.register_with_unit(
             "call_duration",
             "Time from a call's arrival to its answer",
@@ -115,11 +131,20 @@
         self.ticket.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
-    /// Counts messages between instances and their bytes.
-    pub fn peer(&self, direction: Direction, messages: u64, bytes: u64) {
-        let label = Outgoing { direction };
-        self.messages.get_or_create(&label).inc_by(messages);
-        self.bytes.get_or_create(&label).inc_by(bytes);
+    /// Sets the counts of the mesh.
+    pub fn set_peer(&self, counts: &Counts) {
+        let traffic = [
+            (Direction::sent, counts.sent),
+            (Direction::received, counts.received),
+            (Direction::dropped, counts.dropped),
+        ];
+        for (direction, traffic) in traffic {
+            let label = Outgoing { direction };
+            store(&self.messages.get_or_create(&label), traffic.frames);
+            store(&self.bytes.get_or_create(&label), traffic.bytes);
+        }
+        store(&self.overrun, counts.overrun);
+        store(&self.rejected, counts.rejected);
     }
 
     /// The text for Prometheus.
@@ -136,3 +161,7 @@
 fn gauge(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
+
+fn store(counter: &Counter, value: u64) {
+    counter.inner().store(value, Ordering::Relaxed);
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,61 @@
+//! What instances tell each other.
+
+use std::collections::BTreeMap;
+
+use crate::name::{InstanceName, JobId, PoolName, WorkerName};
+
+/// Who speaks; the first frame in each direction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hello {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Differs between two starts of it.
+    pub boot: String,
+}
+
+/// What an instance knows of the configuration and the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// Number of the newest ticket that it knows.
+    pub ticket: u64,
+    /// Whether it reaches the table.
+    pub table: bool,
+    /// Whether its session is live.
+    pub session: bool,
+}
+
+/// A hint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// State of the sender.
+    Head(Head),
+    /// A pool has a new or cancelled job.
+    Wake {
+        /// The pool.
+        pool: PoolName,
+        /// The job.
+        job: JobId,
+    },
+    /// A job has ended.
+    Ended(JobId),
+    /// Calls that the sender has in flight, by worker; workers left out are unchanged.
+    Load(BTreeMap<WorkerName, u32>),
+}
+
+/// A message as received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Who sent it.
+    pub from: Hello,
+    /// What.
+    pub message: Message,
+}
+
+/// Who gets a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum To<'a> {
+    /// Every peer.
+    All,
+    /// The peer of this name; dropped if there is none.
+    One(&'a InstanceName),
+}
--- a/tests/metric.rs
+++ b/tests/metric.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use yuccaridge::metric::{Direction, Metrics, Result};
+use yuccaridge::metric::{Metrics, Result};
 use yuccaridge::name::PoolName;
+use yuccaridge::peer::{Counts, Traffic};
 use yuccaridge::platform::Step;
 
 /// Guards against renamed metrics, which break the operators' dashboards, and against a missing unit.
@@ -18,7 +19,11 @@
     metrics.set_waiting(&pool, 5);
     metrics.set_sessions(9);
     metrics.set_ticket(4711);
-    metrics.peer(Direction::sent, 2, 90);
+    metrics.set_peer(&Counts {
+        sent: Traffic { frames: 2, bytes: 90 },
+        rejected: 1,
+        ..Counts::default()
+    });
     let text = metrics.text();
     for line in [
         "yuccaridge_steps_total{step=\"place\",result=\"conflict\"} 1",
@@ -30,6 +35,7 @@
         "yuccaridge_ticket 4711",
         "yuccaridge_peer_messages_total{direction=\"sent\"} 2",
         "yuccaridge_peer_bytes_total{direction=\"sent\"} 90",
+        "yuccaridge_peer_rejected_total 1",
         "# EOF",
     ] {
         assert!(text.contains(line), "{line} is missing in\n{text}");
