Add a load tool that checks every answer

Cause: nothing drove running instances at a set rate, and nothing told a foreign or partial answer from a right one.

Change: `standin load` sends calls and batch jobs at a set rate to instances in turn, or calls directly to one worker. Each payload makes the worker answer with the request's id, once per part or member. Lost answers are asked for again under the same id; only the first answer may prove that a request was not run.

Ruled out: times from when a request was sent, because a stall would then hide the requests that it held up; they count from when each was due.

--- /dev/null
+++ b/standin/src/command/load.rs
@@ -0,0 +1,152 @@
+//! `standin load`.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::Args;
+use miette::{IntoDiagnostic, Result, bail, ensure};
+use standin::load::{DirectSender, HttpSender, Load, LoadReport, Mix, Progress};
+use yuccaridge::name::{KindName, PoolName, TeamName};
+use yuccaridge::platform::Address;
+
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(1);
+
+/// Options of `standin load`.
+#[derive(Debug, Args)]
+pub struct LoadOptions {
+    /// Instances to send to, in turn.
+    #[arg(long, value_delimiter = ',', required_unless_present = "direct")]
+    targets: Vec<Address>,
+    /// Worker to send calls to directly, to compare; no batch jobs are sent.
+    #[arg(long, conflicts_with = "targets")]
+    direct: Option<Address>,
+    /// Requests a second.
+    #[arg(long, default_value_t = 50.0)]
+    rate: f64,
+    /// Length of the run, in seconds.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// Part of the requests that are calls; the others are batch jobs.
+    #[arg(long, default_value_t = 0.9)]
+    calls_share: f64,
+    /// Part of the requests that must run at most once.
+    #[arg(long, default_value_t = 0.1)]
+    non_idempotent_share: f64,
+    /// Teams that make the requests.
+    #[arg(long, value_delimiter = ',', default_value = "load")]
+    teams: Vec<TeamName>,
+    /// Kind of the requests.
+    #[arg(long, default_value = "load")]
+    kind: KindName,
+    /// Pool of the batch jobs; chosen by the system if absent.
+    #[arg(long)]
+    pool: Option<PoolName>,
+    /// Work of a call at speed 1, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    call_ms: u64,
+    /// Parts of a call's answer.
+    #[arg(long, default_value_t = 1)]
+    parts: u32,
+    /// Work of a batch job at speed 1, in milliseconds.
+    #[arg(long, default_value_t = 1000)]
+    batch_ms: u64,
+    /// Numbers of members of the batch jobs, one of which each has.
+    #[arg(long, value_delimiter = ',', default_value = "1")]
+    members: Vec<u16>,
+    /// Accelerators of each member of a batch job.
+    #[arg(long, default_value_t = 1)]
+    accelerators: u16,
+    /// Requests under way at once.
+    #[arg(long, default_value_t = 256)]
+    threads: usize,
+    /// Time after which a request without an end is missing, in seconds.
+    #[arg(long, default_value_t = 60)]
+    patience: u64,
+    /// Seed of all choices.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Start of all ids; differs from run to run if absent.
+    #[arg(long)]
+    run: Option<String>,
+    /// Print the result as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+impl LoadOptions {
+    /// Sends the load and prints the result; progress goes to the standard error.
+    pub fn run(&self) -> Result<()> {
+        let load = self.load()?;
+        let patience = Duration::from_secs(self.patience);
+        let report = match self.direct {
+            Some(worker) => load.run(&DirectSender::new(worker, patience), show),
+            None => load.run(&HttpSender::new(self.targets.clone(), patience), show),
+        };
+        self.print(&report.into_diagnostic()?)
+    }
+
+    fn print(&self, report: &LoadReport) -> Result<()> {
+        if self.json {
+            println!("{}", serde_json::to_string_pretty(report).into_diagnostic()?);
+        } else {
+            print!("{report}");
+        }
+        if !report.is_clean() {
+            bail!("some answers are wrong or missing");
+        }
+        Ok(())
+    }
+
+    fn load(&self) -> Result<Load> {
+        let shares = [self.calls_share, self.non_idempotent_share];
+        ensure!(
+            shares.iter().all(|share| (0.0..=1.0).contains(share)),
+            "a share is from 0 to 1"
+        );
+        ensure!(
+            self.rate > 0.0 && self.seconds > 0.0,
+            "the rate and the seconds must be above 0"
+        );
+        ensure!(self.parts > 0, "an answer has at least one part");
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).into_diagnostic()?;
+        let run = self
+            .run
+            .clone()
+            .unwrap_or_else(|| format!("load-{:x}", since.as_millis()));
+        Ok(Load {
+            mix: Mix {
+                run,
+                seed: self.seed,
+                calls_share: if self.direct.is_some() { 1.0 } else { self.calls_share },
+                non_idempotent_share: self.non_idempotent_share,
+                teams: self.teams.clone(),
+                kind: self.kind.clone(),
+                pool: self.pool.clone(),
+                call_ms: self.call_ms,
+                parts: self.parts,
+                batch_ms: self.batch_ms,
+                members: self.members.clone(),
+                accelerators: self.accelerators,
+            },
+            rate: self.rate,
+            requests: (self.rate * self.seconds).ceil() as u64,
+            threads: self.threads,
+            interval: PROGRESS,
+        })
+    }
+}
+
+fn show(progress: Progress) {
+    let Progress {
+        elapsed,
+        sent,
+        ended,
+        flaws,
+        recent,
+    } = progress;
+    let elapsed = elapsed.as_secs_f64();
+    eprintln!(
+        "{elapsed:6.1} s  sent {sent}  ended {ended}  flaws {flaws}  completed lately: p50 {:.2}  p99 {:.2} ms",
+        recent.p50, recent.p99
+    );
+}
--- a/standin/src/command/mod.rs
+++ b/standin/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod load;
 mod platform;
 mod worker;
 
@@ -11,6 +12,8 @@
 /// What to do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Drive running instances and check their answers.
+    Load(load::LoadOptions),
     /// Serve the table, the object store and the list.
     Platform(platform::PlatformOptions),
     /// Serve one or more workers.
@@ -21,6 +24,7 @@
     /// Does it.
     pub fn run(&self) -> Result<()> {
         match self {
+            Self::Load(options) => options.run(),
             Self::Platform(options) => options.run(),
             Self::Worker(options) => options.run(),
         }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`server`] puts them behind HTTP in real time.
 
 pub mod fake;
+pub mod load;
 pub mod record;
 pub mod script;
 pub mod server;
--- /dev/null
+++ b/standin/src/load/answer.rs
@@ -0,0 +1,31 @@
+//! Check of an answer against its request.
+
+use serde_json::Value;
+
+/// Field of an answer that names the request.
+pub const REQUEST_FIELD: &str = "request";
+
+/// What is wrong with an answer that must name `id` exactly `count` times; `None` if nothing is.
+pub fn check_answer(answer: &Value, id: &str, count: usize) -> Option<String> {
+    let mut found = 0;
+    let mut open = vec![answer];
+    while let Some(value) = open.pop() {
+        match value {
+            Value::Array(values) => open.extend(values),
+            Value::Object(fields) => {
+                for (name, value) in fields {
+                    if name != REQUEST_FIELD {
+                        open.push(value);
+                        continue;
+                    }
+                    if value != id {
+                        return Some(format!("foreign: it answers {value}"));
+                    }
+                    found += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+    (found != count).then(|| format!("partial or repeated: {found} of {count} pieces"))
+}
--- /dev/null
+++ b/standin/src/load/direct_sender.rs
@@ -0,0 +1,57 @@
+//! Calls sent directly to one worker, to compare.
+
+use std::time::{Duration, Instant};
+
+use yuccaridge::job::Outcome;
+use yuccaridge::platform::http::{HttpWorkers, Timeouts};
+use yuccaridge::platform::{Address, CallRequest, WorkerError, Workers};
+use yuccaridge::time::Millis;
+
+use super::ending::Ending;
+use super::mix::Request;
+use super::sender::Sender;
+
+/// Sends calls directly to one worker.
+#[derive(Debug)]
+pub struct DirectSender {
+    worker: Address,
+    workers: HttpWorkers,
+    patience: Millis,
+}
+
+impl DirectSender {
+    /// Sends to this worker; a call without an end after `patience` is missing.
+    pub fn new(worker: Address, patience: Duration) -> Self {
+        Self {
+            worker,
+            workers: HttpWorkers::new(Timeouts::default()),
+            patience: Millis(patience.as_millis() as u64),
+        }
+    }
+}
+
+impl Sender for DirectSender {
+    fn send(&self, request: &Request, _: Instant) -> Ending {
+        let ending = Ending::default();
+        let call = CallRequest {
+            job: request.id.clone(),
+            attempt: 1,
+            team: request.spec.team.clone(),
+            kind: request.spec.kind.clone(),
+            deadline_ms: self.patience.0,
+            trace: None,
+            payload: request.spec.payload.clone(),
+        };
+        match self.workers.call(self.worker, &call, self.patience) {
+            Ok(parts) if parts.iter().any(|part| part.failed) => ending.named("failed"),
+            Ok(parts) => {
+                let answer = parts.into_iter().map(|part| part.data).collect();
+                ending.judge(request, &Outcome::Completed { answer })
+            }
+            Err(WorkerError::Lost(reason)) => ending.missing(reason),
+            Err(WorkerError::Full) => ending.named("refused: full"),
+            Err(WorkerError::Refused) => ending.named("refused: refused"),
+            Err(WorkerError::Unreached(_)) => ending.named("refused: unreached"),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/load/sender.rs
@@ -0,0 +1,12 @@
+//! Something that requests can be sent to.
+
+use std::time::Instant;
+
+use super::ending::Ending;
+use super::mix::Request;
+
+/// Something that requests can be sent to.
+pub trait Sender: Sync {
+    /// Sends a request that was due at this time, and waits for its end.
+    fn send(&self, request: &Request, due: Instant) -> Ending;
+}
--- /dev/null
+++ b/standin/tests/load.rs
@@ -0,0 +1,257 @@
+//! The load tool against a handler that answers as an instance should, or wrongly in one way.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rouille::{Request, Response, ResponseBody};
+use serde_json::{Value, json};
+use standin::load::{DirectSender, FlawSort, HttpSender, Load, LoadReport, Mix, Sort, check_answer};
+use standin::server::{Host, WorkerServer};
+use yuccaridge::api::{ApiError, Code};
+use yuccaridge::job::{Class, JobSpec};
+use yuccaridge::name::{DomainName, KindName, RackName, TeamName, WorkerName};
+use yuccaridge::platform::{ListedWorker, Presence};
+use yuccaridge::time::SystemClock;
+
+const SEED: u64 = 7;
+/// Long enough for any answer that comes, on a busy machine.
+const LONG: Duration = Duration::from_mins(1);
+/// For answers that never come.
+const SHORT: Duration = Duration::from_millis(600);
+
+/// What the fake instance does.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Habit {
+    Honest,
+    /// Answers with the answer of another request.
+    Foreign,
+    /// Leaves a part of the answer out.
+    Partial,
+    /// Refuses all.
+    Busy,
+    /// Takes the first submission of each job and drops its answer.
+    LosesAnswers,
+    /// The same, and refuses all that comes later.
+    LosesThenRefuses,
+    /// Accepts batch jobs and does not know them later.
+    Forgets,
+}
+
+type Jobs = Mutex<BTreeMap<String, JobSpec>>;
+
+struct Broken;
+
+impl Read for Broken {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
+fn instance(habit: Habit) -> Host {
+    let jobs = Jobs::default();
+    Host::start(loopback(), move |request| answer(habit, &jobs, request)).unwrap()
+}
+
+fn answer(habit: Habit, jobs: &Jobs, request: &Request) -> Response {
+    let id = request.url().trim_start_matches("/v1/jobs/").to_owned();
+    let refusal = |code: Code| Response::json(&ApiError::new(code, "no")).with_status_code(code.status());
+    let mut jobs = jobs.lock().unwrap();
+    if request.method() == "GET" {
+        return match jobs.get(&id) {
+            _ if habit == Habit::LosesThenRefuses => refusal(Code::Unavailable),
+            Some(spec) if habit != Habit::Forgets => view(habit, &id, spec),
+            _ => refusal(Code::NotFound),
+        };
+    }
+    if habit == Habit::Busy {
+        return refusal(Code::Busy);
+    }
+    let spec: JobSpec = serde_json::from_reader(request.data().unwrap()).unwrap();
+    let class = spec.class;
+    let is_new = jobs.insert(id.clone(), spec).is_none();
+    if is_new && matches!(habit, Habit::LosesAnswers | Habit::LosesThenRefuses) {
+        return Response {
+            status_code: 200,
+            headers: Vec::new(),
+            data: ResponseBody::from_reader_and_size(Broken, 1),
+            upgrade: None,
+        };
+    }
+    if class == Class::Batch {
+        return Response::json(&json!({ "id": id, "state": "queued", "attempt": 0 }));
+    }
+    view(habit, &id, &jobs[&id])
+}
+
+fn view(habit: Habit, id: &str, spec: &JobSpec) -> Response {
+    let mut pieces = match spec.class {
+        Class::Call => spec.payload["parts"].as_u64().unwrap(),
+        Class::Batch => u64::from(spec.shape.members),
+    };
+    let mut answer = spec.payload["answer"].clone();
+    match habit {
+        Habit::Foreign => answer = json!({ "request": "other" }),
+        Habit::Partial => pieces -= 1,
+        _ => {}
+    }
+    let answer = vec![answer; pieces as usize];
+    let outcome = json!({ "outcome": "completed", "answer": answer });
+    Response::json(&json!({ "id": id, "state": "ended", "attempt": 1, "outcome": outcome }))
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn load(calls_share: f64) -> Load {
+    Load {
+        mix: Mix {
+            run: "test".to_owned(),
+            seed: SEED,
+            calls_share,
+            non_idempotent_share: 0.5,
+            teams: vec![TeamName::new("t").unwrap()],
+            kind: KindName::new("k").unwrap(),
+            pool: None,
+            call_ms: 0,
+            parts: 3,
+            batch_ms: 0,
+            members: vec![1, 4],
+            accelerators: 1,
+        },
+        rate: 1000.0,
+        requests: 24,
+        threads: 8,
+        interval: Duration::from_millis(1),
+    }
+}
+
+fn run(habit: Habit, calls_share: f64, patience: Duration) -> LoadReport {
+    let hosts = [instance(habit)];
+    let targets = hosts.iter().map(Host::address).collect();
+    load(calls_share)
+        .run(&HttpSender::new(targets, patience), |_| {})
+        .unwrap()
+}
+
+/// Number of requests of all sorts by outcome.
+fn outcomes(report: &LoadReport) -> BTreeMap<String, u64> {
+    let mut sums = BTreeMap::new();
+    for (outcome, count) in report.sorts.values().flat_map(|sort| &sort.outcomes) {
+        *sums.entry(outcome.clone()).or_default() += count;
+    }
+    sums
+}
+
+fn all(outcome: &str) -> BTreeMap<String, u64> {
+    BTreeMap::from([(outcome.to_owned(), 24)])
+}
+
+#[test]
+fn honest_answers_are_counted_by_sort() {
+    let report = run(Habit::Honest, 0.5, LONG);
+    assert!(report.is_clean(), "{report}");
+    assert_eq!(outcomes(&report), all("completed"));
+    assert_eq!(report.sorts.len(), 3);
+    let batch = &report.sorts[&Sort::Batch];
+    assert_eq!(batch.accepted.count, batch.completed.count);
+    assert!(batch.completed.max > 0.0);
+}
+
+/// Guards against an answer that is not the request's own, or not the whole one, being counted as completed.
+#[test]
+fn foreign_and_partial_answers_are_wrong() {
+    for habit in [Habit::Foreign, Habit::Partial] {
+        let report = run(habit, 0.5, LONG);
+        assert_eq!(report.flaw_counts, BTreeMap::from([(FlawSort::Wrong, 24)]), "{report}");
+        assert_eq!(outcomes(&report), all("wrong"));
+    }
+}
+
+#[test]
+fn refusals_are_no_flaws() {
+    let report = run(Habit::Busy, 0.5, LONG);
+    assert!(report.is_clean(), "{report}");
+    assert_eq!(outcomes(&report), all("refused: busy"));
+}
+
+#[test]
+fn lost_answers_are_asked_for_again() {
+    let report = run(Habit::LosesAnswers, 0.5, LONG);
+    assert!(report.is_clean(), "{report}");
+    assert_eq!(outcomes(&report), all("completed"));
+}
+
+/// Guards against a refusal of the second submission that hides the loss of the first one.
+#[test]
+fn refusal_after_a_lost_answer_proves_nothing() {
+    let report = run(Habit::LosesThenRefuses, 1.0, SHORT);
+    assert_eq!(outcomes(&report), all("missing"), "{report}");
+}
+
+/// Guards against accepted jobs that vanish.
+#[test]
+fn forgotten_batch_jobs_are_missing() {
+    let report = run(Habit::Forgets, 0.0, SHORT);
+    assert_eq!(
+        report.flaw_counts,
+        BTreeMap::from([(FlawSort::Missing, 24)]),
+        "{report}"
+    );
+}
+
+/// Guards against times that are cut off: no call can end before its work has.
+#[test]
+fn direct_calls_take_as_long_as_their_work() {
+    let listed = ListedWorker {
+        name: WorkerName::new("w").unwrap(),
+        address: loopback(),
+        rack: RackName::new("r").unwrap(),
+        domain: DomainName::new("d").unwrap(),
+        cores: 1,
+        memory_mb: 1,
+        accelerators: 0,
+        slots: 8,
+        connections: 60,
+        presence: Presence::Live,
+    };
+    let worker = WorkerServer::start(listed, 1.0, SystemClock::start()).unwrap();
+    let report = load(1.0)
+        .run(&DirectSender::new(worker.address(), LONG), |_| {})
+        .unwrap();
+    assert!(report.is_clean(), "{report}");
+    assert_eq!(outcomes(&report), all("completed"));
+}
+
+#[test]
+fn requests_are_the_same_in_each_run() {
+    let mix = load(0.5).mix;
+    let first: Vec<_> = (0..50).map(|number| mix.request(number).unwrap()).collect();
+    let second: Vec<_> = (0..50).map(|number| mix.request(number).unwrap()).collect();
+    assert_eq!(first, second);
+}
+
+#[test]
+fn answer_must_name_the_request_in_each_piece() {
+    let piece = json!({ "request": "a" });
+    let right: [(Value, usize); 3] = [
+        (piece.clone(), 1),
+        (json!([piece, piece]), 2),
+        (json!({ "members": { "0": piece, "1": [piece] } }), 2),
+    ];
+    for (answer, count) in right {
+        assert_eq!(check_answer(&answer, "a", count), None);
+    }
+    for (answer, count) in [
+        (Value::Null, 1),
+        (json!("a"), 1),
+        (json!([piece]), 2),
+        (json!([piece, { "request": "b" }]), 2),
+        (json!([piece, piece, piece]), 2),
+    ] {
+        check_answer(&answer, "a", count).unwrap();
+    }
+}
