--- a/src/instance/pools.rs
+++ b/src/instance/pools.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::member::Member;
-use crate::name::{InstanceName, JobId, PoolName, WorkerName};
+use crate::name::{InstanceName, JobId, PoolName, TeamName, WorkerName};
 use crate::plan::{Policy, Scheduler, Weights};
 use crate::planner::{Answer, Claim, Planner, PlannerError, Request, View};
 use crate::platform::{Check, ListedWorker, Objects, Presence, Table, TableError, Version, WorkerError};
@@ -55,6 +55,7 @@
     wakes: Vec<(PoolName, JobId)>,
     waiting: BTreeMap<PoolName, usize>,
     quarantined: BTreeMap<WorkerName, String>,
+    at_risk: BTreeMap<TeamName, String>,
     due: Millis,
 }
 
@@ -162,6 +163,7 @@
             .iter()
             .map(|(pool, plan)| (pool.clone(), plan.planner.waiting()))
             .collect();
+        state.at_risk = plans.values().flat_map(|plan| plan.planner.at_risk()).collect();
         state.quarantined = plans.values().flat_map(|plan| plan.planner.quarantined()).collect();
     }
 
@@ -292,6 +294,11 @@
         self.state().waiting.clone()
     }
 
+    /// Teams whose guarantee the pools held here cannot meet in full now, with what is missing.
+    pub fn at_risk(&self) -> BTreeMap<TeamName, String> {
+        self.state().at_risk.clone()
+    }
+
     /// Workers in quarantine in the pools held here, with the reason.
     pub fn quarantined(&self) -> BTreeMap<WorkerName, String> {
         self.state().quarantined.clone()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,13 @@
 //! decisions come out. Controllers are driven by `step(now)` and reach the outside only through the traits in
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
+pub mod accept;
 pub mod api;
+pub mod client;
 pub mod config;
 pub mod instance;
 pub mod job;
+pub mod logging;
 pub mod member;
 pub mod metric;
 pub mod name;
--- a/standin/src/command/mod.rs
+++ b/standin/src/command/mod.rs
@@ -8,6 +8,7 @@
 use miette::{IntoDiagnostic, Result};
 use signal_hook::consts::TERM_SIGNALS;
 use signal_hook::iterator::Signals;
+use standin::measure::Measure;
 
 /// What to do.
 #[derive(Debug, Subcommand)]
@@ -18,6 +19,9 @@
     Platform(platform::PlatformOptions),
     /// Serve one or more workers.
     Worker(worker::WorkerOptions),
+    /// Measure the product's decisions in virtual time.
+    #[command(subcommand)]
+    Measure(Measure),
 }
 
 impl Command {
@@ -27,6 +31,7 @@
             Self::Load(options) => options.run(),
             Self::Platform(options) => options.run(),
             Self::Worker(options) => options.run(),
+            Self::Measure(measure) => measure.run(),
         }
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fake;
 pub mod load;
+pub mod measure;
 pub mod record;
 pub mod script;
 pub mod server;
