Carry calls and peer hints in the running instance

Cause: calls were refused and other instances learnt of jobs and tickets only by looking. Change: Gateway steps calls; a thread sends and takes hints over the mesh; session rows that lapsed 10 minutes ago are removed; idempotent calls need a live session or an outage that every last known member confirms. Ruled out: hints by HTTP, since the mesh gives liveness as well.

--- a/src/call/calls.rs
+++ b/src/call/calls.rs
@@ -101,6 +101,14 @@
         self.router().reported(now, &report.worker, u32::from(report.calls));
     }
 
+    /// Takes in calls in flight by worker, as another instance was told.
+    pub fn note_loads(&self, now: Millis, loads: &BTreeMap<WorkerName, u32>) {
+        let mut router = self.router();
+        for (worker, calls) in loads {
+            router.reported(now, worker, *calls);
+        }
+    }
+
     /// Asks a worker for its boot.
     pub(super) fn ask_boot(&self, worker: &WorkerName, address: Address) -> Result<u64, WorkerError> {
         let report = self.workers.report(address)?;
--- a/src/instance/core.rs
+++ b/src/instance/core.rs
@@ -1,14 +1,18 @@
 //! The controllers of one instance and how they feed each other.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use super::{FleetFit, Hint, Outage, PoolRequest, Pools, Waiters};
 use crate::accept::Accept;
+use crate::call::Calls;
 use crate::member::Member;
-use crate::name::{DomainName, InstanceName};
+use crate::name::{DomainName, InstanceName, WorkerName};
 use crate::plan::Weights;
-use crate::platform::{Address, Listing, Objects, Table, Workers};
+use crate::planner::Answer;
+use crate::platform::{Address, Listing, Objects, Table, WorkerError, Workers};
+use crate::route::Router;
 use crate::row::OpIds;
 use crate::session::Session;
 use crate::ticket::Tickets;
@@ -16,6 +20,10 @@
 
 /// Time after the end of a session in which its planners still renew task leases without asking the peers.
 const RENEW_AFTER_LAPSE: Millis = Millis::from_secs(10);
+/// Time between two looks at calls that other instances left open.
+const RECOVER_EVERY: Millis = Millis::from_secs(2);
+/// Time between two updates of what the router knows of workers.
+const ROUTE_EVERY: Millis = Millis(500);
 /// Hints that may wait to be sent; more are dropped.
 const HINTS_MAX: usize = 4096;
 
@@ -32,6 +40,8 @@
     pub domain: DomainName,
     /// What counts in placement.
     pub weights: Weights,
+    /// Seed of the router's random choices.
+    pub seed: u64,
     /// The table.
     pub table: Arc<dyn Table>,
     /// The object store.
@@ -42,6 +52,12 @@
     pub workers: Arc<dyn Workers>,
 }
 
+#[derive(Debug, Default)]
+struct Due {
+    recover: Millis,
+    route: Millis,
+}
+
 /// One instance without threads, sockets or a clock.
 pub struct Core {
     /// The session.
@@ -52,6 +68,8 @@
     pub tickets: Tickets,
     /// Batch jobs.
     pub accept: Accept,
+    /// Calls.
+    pub calls: Calls,
     /// Planners.
     pub pools: Pools,
     /// What peers say of the table.
@@ -60,6 +78,10 @@
     pub waiters: Waiters,
     /// Workers, for requests that are carried out elsewhere.
     pub workers: Arc<dyn Workers>,
+    /// Calls in flight by worker, to be told to other instances.
+    loads: Mutex<BTreeMap<WorkerName, u32>>,
+    due: Mutex<Due>,
+    ops: Arc<OpIds>,
     hints: flume::Sender<Hint>,
     outbox: flume::Receiver<Hint>,
 }
@@ -89,6 +111,7 @@
         let member = Arc::new(Member::new(Arc::clone(&table), parts.listing));
         let fit = Arc::new(FleetFit(Arc::clone(&member)));
         let (hints, outbox) = flume::bounded(HINTS_MAX);
+        let router = Arc::new(Mutex::new(Router::new(parts.seed)));
         Self {
             tickets: Tickets::new(
                 Arc::clone(&session),
@@ -104,12 +127,21 @@
                 Arc::clone(&objects),
                 Arc::clone(&ops),
             ),
+            calls: Calls::new(
+                Arc::clone(&session),
+                Arc::clone(&member),
+                router,
+                Arc::clone(&table),
+                Arc::clone(&objects),
+                Arc::clone(&parts.workers),
+                Arc::clone(&ops),
+            ),
             pools: Pools::new(
                 Arc::clone(&session),
                 Arc::clone(&member),
                 table,
                 objects,
-                ops,
+                Arc::clone(&ops),
                 parts.weights,
             ),
             outage: Outage::default(),
@@ -117,6 +149,9 @@
             workers: parts.workers,
             session,
             member,
+            loads: Mutex::default(),
+            due: Mutex::default(),
+            ops,
             hints,
             outbox,
         }
@@ -139,6 +174,7 @@
         match hint {
             Hint::Wake { pool, job } => self.pools.wake(pool, job),
             Hint::Ended(job) => self.waiters.wake(&job),
+            Hint::Load(loads) => self.calls.note_loads(now, &loads),
             Hint::Head { ticket, live } => {
                 self.outage.heard(now, from.clone(), ticket, live);
                 return ticket > self.session.cached().number;
@@ -159,6 +195,23 @@
         if let Err(error) = self.member.step(now) {
             log::warn!("members were not read: {error}");
         }
+        if self.is_due(now, ROUTE_EVERY, |due| &mut due.route) {
+            let quarantined: BTreeSet<_> = self.pools.quarantined().into_keys().collect();
+            self.calls.update_router(now, &quarantined);
+        }
+    }
+
+    fn is_due<F>(&self, now: Millis, every: Millis, f: F) -> bool
+    where
+        F: FnOnce(&mut Due) -> &mut Millis,
+    {
+        let mut due = self.due.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = f(&mut due);
+        if now < *at {
+            return false;
+        }
+        *at = now + every;
+        true
     }
 
     /// Finishes what other instances left undone.
@@ -166,6 +219,15 @@
         if let Err(error) = self.tickets.step(now) {
             log::warn!("pending tickets were not looked at: {error}");
         }
+        if !self.is_due(now, RECOVER_EVERY, |due| &mut due.recover) {
+            return;
+        }
+        if let Err(error) = self.calls.recover(now) {
+            log::warn!("calls left open were not looked at: {error}");
+        }
+        if let Err(error) = self.member.sweep(now, self.session.instance(), &self.ops) {
+            log::warn!("sessions of instances that are gone were not removed: {error}");
+        }
     }
 
     /// Whether idempotent calls and task leases may go on from cached state, though the session has lapsed.
@@ -175,6 +237,14 @@
             .is_shared(now, self.session.instance(), number, &self.member.last_known())
     }
 
+    /// Whether an idempotent call may go by the last known configuration.
+    pub fn may_use_cache(&self, now: Millis) -> bool {
+        let Some(end) = self.session.lease_end() else {
+            return false;
+        };
+        now < end || (Outage::allows_cache(now, end) && self.outage_is_shared(now))
+    }
+
     /// Steps the planners; the requests that workers are to get.
     pub fn plan(&self, now: Millis) -> Vec<PoolRequest> {
         let in_grace = self
@@ -193,6 +263,28 @@
         progress.requests
     }
 
+    /// Takes a worker's answer to a planner's request.
+    pub fn answered(&self, now: Millis, asked: &PoolRequest, result: Result<Answer, WorkerError>) {
+        if let Ok(Answer::Report(report)) = &result {
+            self.calls.note_report(now, report);
+            let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+            loads.insert(report.worker.clone(), u32::from(report.calls));
+        }
+        self.pools.answered(now, asked, result);
+    }
+
+    /// Leaves the hints that are sent at regular times.
+    pub fn announce(&self, now: Millis) {
+        self.hint(Hint::Head {
+            ticket: self.session.cached().number,
+            live: self.session.is_live(now),
+        });
+        let loads = std::mem::take(&mut *self.loads.lock().unwrap_or_else(PoisonError::into_inner));
+        if !loads.is_empty() {
+            self.hint(Hint::Load(loads));
+        }
+    }
+
     /// Does all that is due, in one thread. The daemon uses a thread for each part instead.
     pub fn step(&self, now: Millis) {
         self.heartbeat(now);
@@ -200,7 +292,7 @@
         self.finish(now);
         for asked in self.plan(now) {
             let result = asked.request.carry_out(self.workers.as_ref());
-            self.pools.answered(now, &asked, result);
+            self.answered(now, &asked, result);
         }
     }
 }
--- a/src/instance/daemon.rs
+++ b/src/instance/daemon.rs
@@ -11,6 +11,7 @@
 use crate::api::{Handler, Server, ServerError};
 use crate::config::Config;
 use crate::metric::Metrics;
+use crate::peer::{Hello, Mesh, PeerError, To};
 use crate::platform::http::{HttpListing, HttpObjects, HttpTable, HttpWorkers, Timeouts};
 use crate::platform::{Limited, Table, TableBudget};
 use crate::time::{Clock, Millis, SystemClock};
@@ -18,6 +19,12 @@
 
 /// Pause between two steps of a part that has nothing to do.
 const IDLE: Millis = Millis(50);
+/// Longest time that a hint waits to be sent.
+const HINT_DELAY: Millis = Millis(5);
+/// Time between two regular messages to the peers.
+const ANNOUNCE_EVERY: Millis = Millis(1000);
+/// Messages from peers that may wait; more are dropped.
+const EVENTS_MAX: usize = 4096;
 /// Time between not being ready and refusing requests, in which the balancer takes the instance out.
 const BALANCER_DELAY: Millis = Millis(1000);
 
@@ -27,6 +34,9 @@
     /// The server for callers cannot start.
     #[error(transparent)]
     Server(#[from] ServerError),
+    /// The port for peers cannot be opened.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
     /// A thread cannot start, or a signal handler cannot be set.
     #[error("the system refused a resource: {0}")]
     System(#[from] std::io::Error),
@@ -69,12 +79,18 @@
         let table = Arc::new(Limited::new(table, Arc::clone(&clock), budget, 1));
         let objects = HttpObjects::new(config.platform.objects, timeouts(config, times.objects_ms));
         let listing = HttpListing::new(config.platform.list, timeouts(config, times.list_ms));
+        let boot = boot();
+        let hello = Hello {
+            instance: config.instance.clone(),
+            boot: boot.clone(),
+        };
         let core = Arc::new(Core::new(Parts {
             instance: config.instance.clone(),
-            boot: boot(),
+            boot,
             peer: config.peer,
             domain: config.domain.clone(),
             weights: config.weights,
+            seed: rand::random(),
             table: Arc::clone(&table) as Arc<dyn Table>,
             objects: Arc::new(objects),
             listing: Arc::new(listing),
@@ -106,6 +122,7 @@
         })?;
         daemon.spawn("ticket", Core::finish)?;
         daemon.spawn_planner()?;
+        daemon.spawn_peers(config.peer, hello)?;
         Ok(daemon)
     }
 
@@ -135,10 +152,10 @@
                     dispatch.send(request);
                 }
                 if let Ok((asked, result)) = inbox.recv_timeout(IDLE.duration()) {
-                    core.pools.answered(clock.now(), &asked, result);
+                    core.answered(clock.now(), &asked, result);
                 }
                 for (asked, result) in inbox.try_iter() {
-                    core.pools.answered(clock.now(), &asked, result);
+                    core.answered(clock.now(), &asked, result);
                 }
             }
             dispatch.stop();
@@ -148,6 +165,40 @@
         Ok(())
     }
 
+    fn spawn_peers(&mut self, listen: SocketAddr, hello: Hello) -> Result<(), DaemonError> {
+        let (events, inbox) = flume::bounded(EVENTS_MAX);
+        let mesh = Mesh::start(listen, hello, events)?;
+        let (core, clock, stop) = (Arc::clone(&self.core), Arc::clone(&self.clock), Arc::clone(&self.stop));
+        let work = move || {
+            let mut due = Millis::ZERO;
+            while !stop.load(Ordering::Relaxed) {
+                let now = clock.now();
+                if now >= due {
+                    due = now + ANNOUNCE_EVERY;
+                    let sessions = core.member.sessions().into_iter();
+                    mesh.set_peers(sessions.map(|(name, row)| (name, row.peer)).collect());
+                    core.announce(now);
+                }
+                for hint in core.outbox().try_iter() {
+                    mesh.send(To::All, &hint.into());
+                }
+                let first = inbox.recv_timeout(HINT_DELAY.duration()).ok();
+                for event in first.into_iter().chain(inbox.try_iter()) {
+                    let now = clock.now();
+                    if core.hinted(now, &event.from.instance, event.message.into())
+                        && let Err(error) = core.session.refresh(now)
+                    {
+                        log::warn!("the session was not refreshed: {error}");
+                    }
+                }
+            }
+            mesh.stop();
+        };
+        self.threads
+            .push(thread::Builder::new().name("peers".to_owned()).spawn(work)?);
+        Ok(())
+    }
+
     /// Address that callers use.
     pub fn address(&self) -> Option<SocketAddr> {
         self.server.as_ref().map(Server::address)
--- a/src/instance/gateway.rs
+++ b/src/instance/gateway.rs
@@ -7,6 +7,7 @@
 use super::{Core, Hint};
 use crate::accept;
 use crate::api::{ApiError, Code, Handler, JobState, JobView, StatusView, TicketView};
+use crate::call::Progress;
 use crate::job::Class;
 use crate::name::JobId;
 use crate::row::TicketState;
@@ -54,6 +55,22 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    fn call(&self, id: &JobId, body: &[u8], trace: Option<&str>, idempotent: bool) -> Result<JobView, ApiError> {
+        let now = self.clock.now();
+        if idempotent && !self.core.may_use_cache(now) {
+            let message = "this instance cannot tell whether its configuration is still in force; the call was not run";
+            return Err(ApiError::new(Code::Unavailable, message));
+        }
+        let mut call = self.core.calls.begin(now, id, body, trace)?;
+        loop {
+            match self.core.calls.step(self.clock.now(), &mut call)? {
+                Progress::Again => {}
+                Progress::Wait(pause) => std::thread::sleep(pause.duration()),
+                Progress::Done(view) => return Ok(*view),
+            }
+        }
+    }
+
     fn wake(&self, view: &JobView) {
         if let Some(pool) = view.pool.clone() {
             self.core.pools.wake(pool.clone(), view.id.clone());
@@ -70,7 +87,7 @@
         let now = self.clock.now();
         let spec = accept::parse(body)?;
         if spec.class == Class::Call {
-            return Err(ApiError::new(Code::BadRequest, "calls are not served yet"));
+            return self.call(id, body, trace, spec.idempotent);
         }
         let view = self.core.accept.submit(now, id, body, trace)?;
         if view.state == JobState::Queued {
--- a/src/instance/hint.rs
+++ b/src/instance/hint.rs
@@ -1,6 +1,9 @@
 //! Hints to other instances.
 
-use crate::name::{JobId, PoolName};
+use std::collections::BTreeMap;
+
+use crate::name::{JobId, PoolName, WorkerName};
+use crate::peer::{Head, Message};
 
 /// News that saves another instance from waiting for its next look; losing one costs time only.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,4 +24,36 @@
         /// Whether the session is live.
         live: bool,
     },
+    /// Calls that workers reported as in flight, from all instances.
+    Load(BTreeMap<WorkerName, u32>),
+}
+
+impl From<Hint> for Message {
+    fn from(hint: Hint) -> Self {
+        match hint {
+            Hint::Wake { pool, job } => Self::Wake { pool, job },
+            Hint::Ended(job) => Self::Ended(job),
+            // An instance reaches the table as far as others are concerned if it can renew its session there.
+            Hint::Head { ticket, live } => Self::Head(Head {
+                ticket,
+                table: live,
+                session: live,
+            }),
+            Hint::Load(loads) => Self::Load(loads),
+        }
+    }
+}
+
+impl From<Message> for Hint {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Wake { pool, job } => Self::Wake { pool, job },
+            Message::Ended(job) => Self::Ended(job),
+            Message::Head(head) => Self::Head {
+                ticket: head.ticket,
+                live: head.table || head.session,
+            },
+            Message::Load(loads) => Self::Load(loads),
+        }
+    }
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -23,3 +23,5 @@
 /// Time for which a worker is kept that is missing from the list. The list lags and may be wrong, and the task leases
 /// of a dead worker with their margin end before.
 pub const UNLISTED_GRACE: Millis = Millis::from_secs(60);
+/// Time after which the row of a silent session is removed.
+pub const SWEEP_AFTER: Millis = Millis::from_secs(600);
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -5,10 +5,10 @@
 
 use serde::Deserialize;
 
-use super::{KnownWorker, LIST_EVERY, MemberError, SESSIONS_EVERY, UNLISTED_GRACE, owner_of};
+use super::{KnownWorker, LIST_EVERY, MemberError, SESSIONS_EVERY, SWEEP_AFTER, UNLISTED_GRACE, owner_of};
 use crate::name::{InstanceName, PoolName, WorkerName};
-use crate::platform::{Check, Listed, Listing, Presence, Row, Table, Version};
-use crate::row::{PoolRow, SessionRow, key, scan_all};
+use crate::platform::{Check, Listed, Listing, Presence, Put, Row, Step, Table, TableError, Txn, Version};
+use crate::row::{OpIds, PoolRow, SessionRow, key, scan_all};
 use crate::session::{LEASE, MARGIN};
 use crate::time::Millis;
 
@@ -205,6 +205,37 @@
         })
     }
 
+    /// Removes rows of sessions that lapsed long ago, so that instances with ever new names do not fill the table. The
+    /// pools that such an instance held were taken over long before.
+    pub fn sweep(&self, now: Millis, me: &InstanceName, ops: &OpIds) -> Result<(), TableError> {
+        let mut checks = Vec::new();
+        for (name, observed) in &self.state().sessions {
+            if name != me && observed.seen.is_some_and(|seen| now.since(seen) >= SWEEP_AFTER) {
+                checks.push(Check {
+                    key: key::session(name),
+                    version: observed.version,
+                });
+            }
+        }
+        for check in checks {
+            let puts = vec![Put {
+                key: check.key.clone(),
+                value: None,
+            }];
+            let txn = Txn {
+                step: Step::Leave,
+                op: ops.next(),
+                checks: vec![check],
+                puts,
+            };
+            match self.table.commit(&txn) {
+                Ok(_) | Err(TableError::Conflict { .. }) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// Whether the session row of an instance has kept exactly this version until it lapsed.
     pub fn has_lapsed_at(&self, now: Millis, instance: &InstanceName, version: Version) -> bool {
         let state = self.state();
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -38,7 +38,7 @@
     },
     /// A job has ended.
     Ended(JobId),
-    /// Calls that the sender has in flight, by worker; workers left out are unchanged.
+    /// Calls in flight from all instances, as workers reported them to the sender; workers left out are unchanged.
     Load(BTreeMap<WorkerName, u32>),
 }
 
--- a/standin/src/load/direct_sender.rs
+++ b/standin/src/load/direct_sender.rs
@@ -34,6 +34,7 @@
     fn send(&self, request: &Request, _: Instant) -> Ending {
         let ending = Ending::default();
         let call = CallRequest {
+            boot: None,
             job: request.id.clone(),
             attempt: 1,
             team: request.spec.team.clone(),
