Bound the cost of a decision and measure it

Cause: a decision took up to 2 ms once thousands of jobs had aged. Change: benches/decide.rs; a cursor in the fair order, urgent jobs by class, coarser times for reservations, reclaims counted as several searches and skipped when the guarantee is used up. Ruled out: a full pass over all waiting jobs in each decision.

--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,222 @@
+//! Cost of one decision, and of taking in one event, on a full pool with a backlog.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::measurement::WallTime;
+use criterion::{BenchmarkGroup, BenchmarkId, Criterion, criterion_group, criterion_main};
+use yuccaridge::job::{Adjacency, Shape};
+use yuccaridge::name::{DomainName, JobId, KindName, PoolName, RackName, TeamName, WorkerName};
+use yuccaridge::plan::{Decision, EndKind, Event, Policy, QueuedJob, Scheduler, Weights, WorkerSpec};
+use yuccaridge::team::{Guarantee, Level, Team};
+use yuccaridge::time::Millis;
+
+/// Sizes of the fleet; the last is the design size with 2,700 accelerators, 590 teams and 5,600 running tasks.
+const WORKERS: [usize; 4] = [50, 200, 600, 1300];
+const TEAMS: usize = 590;
+const TASKS: usize = 5600;
+/// Waiting jobs: an ordinary evening, and after a burst.
+const BACKLOGS: [usize; 2] = [300, 5000];
+
+#[derive(Debug)]
+struct Load {
+    scheduler: Scheduler,
+    now: Millis,
+    teams: usize,
+    backlog: usize,
+    tasks: usize,
+    number: u64,
+    running: VecDeque<JobId>,
+    jobs: BTreeMap<JobId, QueuedJob>,
+}
+
+fn accelerators(index: usize) -> u16 {
+    match index % 20 {
+        0 => 0,
+        1 => 8,
+        _ => 2,
+    }
+}
+
+impl Load {
+    fn new(workers: usize, backlog: usize) -> Self {
+        let teams = (TEAMS * workers / 1300).max(4);
+        let mut load = Self {
+            scheduler: Scheduler::new(PoolName::new("p").unwrap(), Weights::default()),
+            now: Millis::from_secs(1000),
+            teams,
+            backlog,
+            tasks: TASKS * workers / 1300,
+            number: 0,
+            running: VecDeque::new(),
+            jobs: BTreeMap::new(),
+        };
+        for index in 0..workers {
+            load.apply(Event::WorkerUp(WorkerSpec {
+                name: WorkerName::new(format!("worker-{index:04}")).unwrap(),
+                rack: RackName::new(format!("rack-{:03}", index / 8)).unwrap(),
+                domain: DomainName::new(format!("domain-{}", index * 7 / workers)).unwrap(),
+                cores: 64,
+                memory_mb: 256_000,
+                accelerators: accelerators(index),
+                slots: 8,
+            }));
+        }
+        let mut catalog = BTreeMap::new();
+        for index in 0..teams {
+            let level = if index % 10 == 0 { Level::Rack } else { Level::Worker };
+            let guarantee = Guarantee {
+                pool: PoolName::new("p").unwrap(),
+                level,
+                accelerators: if index % 10 == 0 { 8 } else { 2 },
+                count: 1,
+            };
+            let team = Team {
+                guarantees: vec![guarantee],
+                quota: 200,
+                weight: 1,
+                kinds: BTreeSet::new(),
+            };
+            catalog.insert(Self::team(index), team);
+        }
+        load.apply(Event::Teams(catalog));
+        load.fill();
+        load
+    }
+
+    fn team(index: usize) -> TeamName {
+        TeamName::new(format!("team-{index:03}")).unwrap()
+    }
+
+    fn apply(&mut self, event: Event) {
+        self.scheduler.apply(self.now, event);
+    }
+
+    /// A mix of single tasks without and with accelerators, and a gang now and then.
+    fn submit(&mut self) {
+        self.number += 1;
+        let n = self.number;
+        let mut shape = Shape {
+            cores: 1 + (n % 4) as u32,
+            accelerators: [0, 0, 1, 0, 1, 0, 2][(n % 7) as usize],
+            ..Shape::default()
+        };
+        if n.is_multiple_of(29) {
+            shape.members = [2, 4, 8, 16][(n / 29 % 4) as usize];
+            shape.accelerators = 1;
+            shape.adjacent = [Adjacency::Any, Adjacency::Rack][(n / 29 % 2) as usize];
+        }
+        let job = QueuedJob {
+            id: JobId::new(format!("job-{n:08}")).unwrap(),
+            team: Self::team((n * 31 % self.teams as u64) as usize),
+            kind: KindName::new(format!("kind-{}", n % 5)).unwrap(),
+            shape,
+            declared: Millis::from_secs(600 * (1 + n % 12)),
+            checkpoints: !n.is_multiple_of(3),
+            idempotent: !n.is_multiple_of(5),
+            urgent: n.is_multiple_of(11),
+            attempt: 0,
+            since: self.now,
+        };
+        self.jobs.insert(job.id.clone(), job.clone());
+        self.apply(Event::Queued(job));
+    }
+
+    fn carry_out(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            match decision {
+                Decision::Place { job, .. } => {
+                    self.apply(Event::Started { job: job.clone() });
+                    self.running.push_back(job);
+                }
+                Decision::Stop { job, .. } => {
+                    self.running.retain(|other| *other != job);
+                    let kind = EndKind::Stopped;
+                    self.apply(Event::Ended {
+                        job: job.clone(),
+                        kind,
+                        worker: None,
+                    });
+                    self.apply(Event::Queued(self.jobs[&job].clone()));
+                }
+                Decision::Reject { job, .. } => {
+                    self.jobs.remove(&job);
+                }
+                Decision::Quarantine { .. } | Decision::Reinstate { .. } => {}
+            }
+        }
+    }
+
+    fn fill(&mut self) {
+        let mut tries = 0;
+        while self.tasks() < self.tasks && tries < 4 * self.tasks {
+            self.submit();
+            self.now = self.now + Millis(50);
+            let decisions = self.scheduler.decide(self.now);
+            self.carry_out(decisions);
+            tries += 1;
+        }
+        while self.jobs.len() < self.running.len() + self.backlog {
+            self.submit();
+        }
+        for _ in 0..200 {
+            self.cycle();
+        }
+    }
+
+    fn tasks(&self) -> usize {
+        let members = |job: &JobId| usize::from(self.jobs[job].shape.members);
+        self.running.iter().map(members).sum()
+    }
+
+    /// One job ends and one is submitted; returns the time that the decision took.
+    fn cycle(&mut self) -> Duration {
+        self.now = self.now + Millis(50);
+        if let Some(job) = self.running.pop_front() {
+            self.jobs.remove(&job);
+            let kind = EndKind::Completed;
+            self.apply(Event::Ended {
+                job,
+                kind,
+                worker: None,
+            });
+        }
+        if self.jobs.len() < self.running.len() + self.backlog || self.tasks() < self.tasks {
+            self.submit();
+        }
+        let start = Instant::now();
+        let decisions = black_box(self.scheduler.decide(self.now));
+        let took = start.elapsed();
+        self.carry_out(decisions);
+        took
+    }
+}
+
+fn measure(group: &mut BenchmarkGroup<'_, WallTime>, workers: usize, backlog: usize) {
+    let mut load = Load::new(workers, backlog);
+    let mut times = (0..4000).map(|_| load.cycle()).collect::<Vec<_>>();
+    times.sort();
+    let (tasks, waiting) = (load.tasks(), load.jobs.len() - load.running.len());
+    println!(
+        "{workers} workers, {tasks} tasks, {waiting} waiting: median {:?}, 99th percentile {:?}, worst {:?}",
+        times[2000], times[3960], times[3999]
+    );
+    let name = BenchmarkId::new(backlog.to_string(), workers);
+    group.bench_function(name, |bencher| {
+        bencher.iter_custom(|count| (0..count).map(|_| load.cycle()).sum());
+    });
+}
+
+fn decide(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decide");
+    for backlog in BACKLOGS {
+        for workers in WORKERS {
+            measure(&mut group, workers, backlog);
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
--- a/src/plan/decide.rs
+++ b/src/plan/decide.rs
@@ -10,6 +10,8 @@
 pub const AGING: Millis = Millis::from_secs(600);
 /// Searches in one decision; the rest follows in the next, which is asked for at once.
 const SEARCHES_MAX: usize = 48;
+/// Searches that a reclaim counts for, since it looks at every worker.
+const RECLAIM_SEARCHES: usize = 12;
 /// Aged jobs looked at in one decision.
 const AGED_MAX: usize = 64;
 /// A gang that has waited this long gets a reservation.
@@ -90,14 +92,15 @@
     }
 
     fn try_urgent(&mut self, now: Millis, searches: &mut usize, out: &mut Vec<Decision>) {
-        let mut turns = Vec::new();
-        for (_, id) in self.order.urgent() {
-            let job = &self.jobs[id].job;
-            if !self.order.has_failed(job) {
-                turns.push(id.clone());
+        // After a placement the next of the same class gets its turn.
+        loop {
+            let turns = self.order.urgent();
+            let turns = turns.into_iter().map(|(_, id)| id).collect::<Vec<_>>();
+            if turns.is_empty() || self.more {
+                return;
             }
+            self.try_all(now, turns, Turn::Urgent, searches, out);
         }
-        self.try_all(now, turns, Turn::Urgent, searches, out);
     }
 
     fn try_aged(&mut self, now: Millis, searches: &mut usize, out: &mut Vec<Decision>) {
@@ -119,7 +122,9 @@
                 self.more = true;
                 return;
             }
-            let job = self.jobs[&id].job.clone();
+            let Some(job) = self.jobs.get(&id).map(|entry| entry.job.clone()) else {
+                continue;
+            };
             if !self.order.has_failed(&job) {
                 self.attempt(now, &job, turn, searches, out);
             }
@@ -143,12 +148,12 @@
             self.order.fail(job, false);
             return;
         }
-        *searches -= 1;
+        *searches = searches.saturating_sub(1);
         if let Some(seats) = self.find_inside(now, job, turn != Turn::Fair) {
             self.place(now, &job.id, seats, true, out);
             return;
         }
-        if turn == Turn::Urgent && self.reclaim(now, job, out) {
+        if turn == Turn::Urgent && self.try_reclaim(now, job, searches, out) {
             return;
         }
         let mut anywhere = false;
@@ -159,7 +164,7 @@
             }
             anywhere = true;
         }
-        if turn == Turn::Aged && self.reclaim(now, job, out) {
+        if turn == Turn::Aged && self.try_reclaim(now, job, searches, out) {
             return;
         }
         if now.since(self.joined) >= JOIN_QUIET && !self.possible(now, &job.shape) {
@@ -169,6 +174,14 @@
         self.order.fail(job, anywhere);
     }
 
+    fn try_reclaim(&mut self, now: Millis, job: &QueuedJob, searches: &mut usize, out: &mut Vec<Decision>) -> bool {
+        if !self.has_unused(job) {
+            return false;
+        }
+        *searches = searches.saturating_sub(RECLAIM_SEARCHES);
+        self.reclaim(now, job, out)
+    }
+
     fn reject(&mut self, id: &JobId, out: &mut Vec<Decision>) {
         self.health.forget(id);
         self.drop_job(id);
--- a/src/plan/order.rs
+++ b/src/plan/order.rs
@@ -67,7 +67,10 @@
     names: BTreeMap<TeamName, usize>,
     ranks: BTreeSet<(u64, usize)>,
     waiting: BTreeSet<Turn>,
-    urgent: BTreeSet<Turn>,
+    /// Classes of urgent jobs that are not empty, with their teams' numbers.
+    urgent: BTreeSet<(usize, Class)>,
+    /// Teams ranked below this have nothing left that is worth a try.
+    cursor: (u64, usize),
     /// Accelerators and cores of the pool, at least 1.
     total: (u64, u64),
     failed: BTreeMap<Class, u64>,
@@ -135,6 +138,7 @@
         let rank = accelerators.max(cores) / u64::from(line.weight);
         line.rank = Some(rank);
         self.ranks.insert((rank, index));
+        self.cursor = self.cursor.min((rank, index));
     }
 
     /// Adds a waiting job.
@@ -142,12 +146,13 @@
         let turn = (job.since, job.id.clone());
         let index = self.line(&job.team);
         let line = &mut self.lines[index];
-        line.classes.entry(Class::of(job)).or_default().insert(turn.clone());
-        line.parked = 0;
-        self.rank(index);
+        let class = Class::of(job);
         if job.urgent {
-            self.urgent.insert(turn.clone());
+            self.urgent.insert((index, class.clone()));
         }
+        line.classes.entry(class).or_default().insert(turn.clone());
+        line.parked = 0;
+        self.rank(index);
         self.waiting.insert(turn);
     }
 
@@ -155,7 +160,6 @@
     pub(super) fn remove(&mut self, job: &QueuedJob) {
         let turn = (job.since, job.id.clone());
         self.waiting.remove(&turn);
-        self.urgent.remove(&turn);
         let index = self.line(&job.team);
         let class = Class::of(job);
         let classes = &mut self.lines[index].classes;
@@ -163,6 +167,7 @@
             turns.remove(&turn);
             if turns.is_empty() {
                 classes.remove(&class);
+                self.urgent.remove(&(index, class));
             }
         }
         self.rank(index);
@@ -200,6 +205,7 @@
     /// Capacity was freed: everything is worth another try.
     pub(super) fn freed(&mut self) {
         self.generation += 1;
+        self.cursor = (0, 0);
     }
 
     /// Remembers that no seats were found for a job: anywhere, or only inside its team's guarantee and quota.
@@ -227,7 +233,8 @@
 
     /// Next job by fair share that is worth a try; parks teams that have none.
     pub(super) fn next(&mut self) -> Option<JobId> {
-        for &(_, index) in &self.ranks {
+        for &(rank, index) in self.ranks.range(self.cursor..) {
+            self.cursor = (rank, index);
             let line = &mut self.lines[index];
             if line.parked == self.generation + 1 {
                 continue;
@@ -255,9 +262,18 @@
         self.waiting.iter()
     }
 
-    /// Waiting urgent jobs, the oldest first.
-    pub(super) fn urgent(&self) -> impl Iterator<Item = &Turn> {
-        self.urgent.iter()
+    /// The oldest urgent job of each class that is worth a try, the oldest first.
+    pub(super) fn urgent(&self) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        for (index, class) in &self.urgent {
+            let line = &self.lines[*index];
+            if line.failed.get(class) == Some(&self.generation) {
+                continue;
+            }
+            turns.extend(line.classes.get(class).and_then(BTreeSet::first).cloned());
+        }
+        turns.sort();
+        turns
     }
 
     /// Drops what is remembered of failures that no longer count.
--- a/src/plan/place.rs
+++ b/src/plan/place.rs
@@ -22,7 +22,7 @@
 }
 
 /// Group of a worker under an adjacency.
-fn group(fleet: &Fleet, adjacent: Adjacency, worker: usize) -> usize {
+pub(super) fn group(fleet: &Fleet, adjacent: Adjacency, worker: usize) -> usize {
     match adjacent {
         Adjacency::Worker => worker,
         Adjacency::Rack => fleet.worker(worker).rack,
--- a/src/plan/reclaim.rs
+++ b/src/plan/reclaim.rs
@@ -40,7 +40,7 @@
 impl Scheduler {
     /// Stops borrowers in the team's guarantee and claims their seats for a job; `false` if the guarantee is used up.
     pub(super) fn reclaim(&mut self, now: Millis, job: &QueuedJob, out: &mut Vec<Decision>) -> bool {
-        if job.shape.accelerators == 0 || self.cells.of(&job.team).is_empty() {
+        if job.shape.accelerators == 0 {
             return false;
         }
         self.cheapen(now, job);
--- a/src/plan/reserve.rs
+++ b/src/plan/reserve.rs
@@ -8,7 +8,7 @@
 
 use super::book::{Claim, flexible};
 use super::place::{self, Offer};
-use super::worker::{Load, Worker};
+use super::worker::{Load, Task, Worker};
 use super::{Decision, QueuedJob, Scheduler, StopReason, cell};
 use crate::job::Seat;
 use crate::name::JobId;
@@ -17,6 +17,9 @@
 /// A job inside a guarantee that has overrun is expected to go on for this long.
 const OVERRUN_GUESS: Millis = Millis::from_secs(300);
 
+/// Times that are looked at for a reservation; a finer grain is lost in the error of the estimates.
+const TIMES_MAX: usize = 64;
+
 /// Seats promised to a gang.
 #[derive(Debug, Clone)]
 pub(super) struct Reservation {
@@ -46,18 +49,20 @@
         }
         ends.sort_unstable();
         ends.dedup();
+        let step = ends.len().div_ceil(TIMES_MAX).max(1);
+        let ends = ends.into_iter().rev().step_by(step).collect::<Vec<_>>();
         let last = ends.len();
-        // Offers only grow with time, so the earliest sufficient end is found by bisection.
+        // Offers only grow with time, so the earliest sufficient end is found by bisection; the ends fall.
         let (mut low, mut high) = (0, last);
         while low < high {
             let middle = usize::midpoint(low, high);
-            if self.offers_at(now, job, ends[middle]).is_some() {
-                high = middle;
-            } else {
+            if self.fits_at(now, job, ends[middle]) {
                 low = middle + 1;
+            } else {
+                high = middle;
             }
         }
-        let Some(&at) = ends.get(low) else {
+        let Some(&at) = low.checked_sub(1).and_then(|index| ends.get(index)) else {
             return;
         };
         let Some(seats) = self.offers_at(now, job, at) else {
@@ -83,6 +88,29 @@
         self.order.freed();
     }
 
+    /// Whether a job could have seats at a time, if all goes as expected.
+    fn fits_at(&self, now: Millis, job: &QueuedJob, at: Millis) -> bool {
+        let mut groups = BTreeMap::<usize, u64>::new();
+        for (index, worker) in self.fleet.workers().iter().enumerate() {
+            if !worker.usable() {
+                continue;
+            }
+            let gone = |task: &Task| expected_end(now, task.end, task.firm) <= at;
+            let members = worker.members_without(&job.shape, worker.free(), gone);
+            if members == 0 {
+                continue;
+            }
+            let total = groups
+                .entry(place::group(&self.fleet, job.shape.adjacent, index))
+                .or_default();
+            *total += members;
+            if *total >= u64::from(job.shape.members) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Seats that a job could have at a time, if all goes as expected.
     fn offers_at(&self, now: Millis, job: &QueuedJob, at: Millis) -> Option<Vec<Seat>> {
         let mut offers = Vec::new();
@@ -90,7 +118,7 @@
             if !worker.usable() {
                 continue;
             }
-            let gone = |task: &super::worker::Task| expected_end(now, task.end, task.firm) <= at;
+            let gone = |task: &Task| expected_end(now, task.end, task.firm) <= at;
             let members = worker.members_without(&job.shape, worker.free(), gone);
             if members == 0 {
                 continue;
--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -109,13 +109,22 @@
         if job.shape.accelerators == 0 {
             return self.find_firm_cores(now, job, kept);
         }
-        if self.cells.of(&job.team).is_empty() {
+        if !self.has_unused(job) {
             return None;
         }
         self.attract(now, job, kept);
         self.find_in_cells(now, job, kept)
     }
 
+    /// Whether enough accelerators of the team's guarantee are unused.
+    pub(super) fn has_unused(&self, job: &QueuedJob) -> bool {
+        let mut unused = 0;
+        for &index in self.cells.of(&job.team) {
+            unused += self.cells.loose(&self.fleet, index);
+        }
+        unused > 0 && unused >= job.shape.total_accelerators()
+    }
+
     fn find_in_cells(&self, now: Millis, job: &QueuedJob, kept: bool) -> Option<Vec<Seat>> {
         let mut offers = Vec::new();
         for (index, own) in self.cells.own(&job.team) {
--- a/tests/plan/world.rs
+++ b/tests/plan/world.rs
@@ -193,7 +193,10 @@
                 Decision::Place { job, seats, guaranteed } => self.place(job, seats, *guaranteed),
                 Decision::Stop { job, .. } => {
                     let running = self.running.get_mut(job).expect("a stopped job runs");
-                    assert!(!running.guaranteed || self.ticketed, "{job} is stopped inside its guarantee");
+                    assert!(
+                        !running.guaranteed || self.ticketed,
+                        "{job} is stopped inside its guarantee"
+                    );
                     assert!(!running.stopping, "{job} is stopped twice");
                     let resumable = running.job.checkpoints || running.job.idempotent;
                     assert!(resumable, "{job} is stopped and cannot run again");
