--- a/tests/plan/attribution.rs
+++ b/tests/plan/attribution.rs
@@ -1,1 +1,169 @@
-//! attribution
+//! Attribution of failures.
+
+use yuccaridge::name::WorkerName;
+use yuccaridge::plan::{EndKind, Scheduler, WorkerSpec};
+use yuccaridge::time::Millis;
+
+use super::world::{World, id, job, scheduler, worker, worker_name};
+
+fn fleet(count: usize) -> Vec<WorkerSpec> {
+    let one = |index: usize| worker(&format!("w{index}"), &format!("r{}", index / 4), 2);
+    (0..count).map(one).collect()
+}
+
+/// Submits a job for two accelerators, and ends it as `bad` says for its worker.
+fn run<F>(world: &mut World<Scheduler>, name: &str, bad: F) -> Option<WorkerName>
+where
+    F: Fn(&WorkerName) -> bool,
+{
+    world.submit(job(name, "a", 2));
+    world.settle();
+    finish(world, name, bad)
+}
+
+fn finish<F>(world: &mut World<Scheduler>, name: &str, bad: F) -> Option<WorkerName>
+where
+    F: Fn(&WorkerName) -> bool,
+{
+    let on = world.running.get(&id(name))?.seats[0].worker.clone();
+    world.pass(10);
+    let kind = if bad(&on) { EndKind::Failed } else { EndKind::Completed };
+    world.end(&id(name), kind, Some(on.clone()));
+    world.settle();
+    Some(on)
+}
+
+#[test]
+/// Guards against a worker that fails everything and, being always free, attracts all work.
+fn a_failing_worker_is_quarantined_and_probed() {
+    let mut world = World::new(scheduler(), &fleet(10), &[]);
+    let bad = worker_name("w3");
+    for number in 0..200 {
+        run(&mut world, &format!("j{number}"), |worker| *worker == bad);
+        for filler in 0..9 {
+            let name = format!("f{number}-{filler}");
+            world.submit(job(&name, "a", 2));
+        }
+        world.settle();
+        for name in world.running.keys().cloned().collect::<Vec<_>>() {
+            finish(&mut world, name.as_str(), |worker| *worker == bad);
+        }
+        if !world.quarantined.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(world.quarantined.iter().collect::<Vec<_>>(), [&bad]);
+
+    world.pass(300);
+    let used = run(&mut world, "probe", |_| false);
+    for number in 0..20 {
+        if world.quarantined.is_empty() {
+            break;
+        }
+        world.pass(300);
+        run(&mut world, &format!("probe{number}"), |_| false);
+    }
+
+    assert!(used.is_some());
+    assert!(world.quarantined.is_empty(), "a probe succeeded");
+}
+
+#[test]
+/// Guards against a probe that fails and reinstates, or is repeated at once.
+fn a_failed_probe_keeps_the_quarantine() {
+    let mut world = World::new(scheduler(), &fleet(10), &[]);
+    let bad = worker_name("w0");
+    let mut number = 0;
+    while world.quarantined.is_empty() && number < 400 {
+        for _ in 0..10 {
+            number += 1;
+            world.submit(job(&format!("j{number}"), "a", 2));
+        }
+        world.settle();
+        for name in world.running.keys().cloned().collect::<Vec<_>>() {
+            finish(&mut world, name.as_str(), |worker| *worker == bad);
+        }
+    }
+    let mut probes = 0;
+    for number in 0..30 {
+        world.pass(30);
+        let used = run(&mut world, &format!("p{number}"), |worker| *worker == bad);
+        probes += usize::from(used == Some(bad.clone()));
+    }
+
+    assert_eq!(world.quarantined.len(), 1);
+    assert!((1..=4).contains(&probes), "{probes} probes in 15 minutes");
+}
+
+#[test]
+/// Guards against a broken job that is tried for ever, and against workers that are blamed for it.
+fn a_failing_job_is_rejected_after_three_workers() {
+    let mut world = World::new(scheduler(), &fleet(10), &[]);
+    let mut tried = Vec::new();
+    for _ in 0..10 {
+        if world.rejected.is_empty() {
+            tried.extend(run(&mut world, "broken", |_| true));
+        }
+    }
+    world.settle();
+
+    tried.sort();
+    tried.dedup();
+    assert_eq!(tried.len(), 3);
+    assert_eq!(world.rejected.get(&id("broken")), Some(&true));
+    assert!(world.quarantined.is_empty());
+}
+
+#[test]
+/// Guards against quarantine of good workers by a kind of job that fails everywhere.
+fn a_failing_kind_blames_no_worker() {
+    let mut world = World::new(scheduler(), &fleet(10), &[]);
+    for number in 0..60 {
+        world.submit(job(&format!("j{number}"), "a", 2));
+    }
+    for _ in 0..60 {
+        world.settle();
+        for name in world.running.keys().cloned().collect::<Vec<_>>() {
+            finish(&mut world, name.as_str(), |_| true);
+        }
+    }
+
+    assert!(world.quarantined.is_empty(), "{:?}", world.quarantined);
+}
+
+#[test]
+/// Guards against blame for the loss of a switch, whether jobs are reported lost or failed.
+fn the_loss_of_a_rack_blames_nobody() {
+    let mut world = World::new(scheduler(), &fleet(40), &[]);
+    for round in 0..4 {
+        for number in 0..40 {
+            world.submit(job(&format!("j{round}-{number}"), "a", 2));
+        }
+        world.settle();
+        // Members on the rack fail shortly before its workers are found to be gone.
+        let names = ["w0", "w1", "w2", "w3"].map(worker_name);
+        let on = |worker: &WorkerName| names.contains(worker);
+        let failing = world.running.iter().filter(|(_, running)| on(&running.seats[0].worker));
+        let failing = failing.map(|(name, _)| name.clone()).collect::<Vec<_>>();
+        for name in failing {
+            let worker = world.running[&name].seats[0].worker.clone();
+            let job = world.end(&name, EndKind::Failed, Some(worker)).job;
+            world.submit(job);
+        }
+        world.now = world.now + Millis(500);
+        for name in &names {
+            world.lose(name);
+        }
+        world.settle();
+        for name in world.running.keys().cloned().collect::<Vec<_>>() {
+            world.end(&name, EndKind::Completed, None);
+        }
+        world.pass(60);
+        for spec in fleet(4) {
+            world.join(spec);
+        }
+    }
+
+    assert!(world.quarantined.is_empty(), "{:?}", world.quarantined);
+    assert!(world.rejected.is_empty(), "{:?}", world.rejected);
+}
--- a/tests/plan/guarantee.rs
+++ b/tests/plan/guarantee.rs
@@ -1,1 +1,158 @@
-//! guarantee
+//! The check of a ticket's guarantees.
+
+use std::collections::BTreeMap;
+
+use yuccaridge::job::Shape;
+use yuccaridge::name::{TeamName, WorkerName};
+use yuccaridge::plan::{Event, Shortfall, WorkerSpec, can_hold, fit_guarantees};
+use yuccaridge::team::{Level, Team};
+
+use super::world::{World, guarantee, job, pool, scheduler, team, team_name, worker, worker_name};
+
+fn fleet(sizes: &[(&str, u16)]) -> BTreeMap<WorkerName, WorkerSpec> {
+    let mut all = BTreeMap::new();
+    for (index, (rack, size)) in sizes.iter().enumerate() {
+        let spec = worker(&format!("w{index}"), rack, *size);
+        all.insert(spec.name.clone(), spec);
+    }
+    all
+}
+
+fn check(workers: &BTreeMap<WorkerName, WorkerSpec>, teams: &[(&str, Team)]) -> Result<(), Shortfall> {
+    let teams = teams.iter().map(|(name, team)| (team_name(name), team.clone()));
+    fit_guarantees(workers, &pool(), &teams.collect::<BTreeMap<TeamName, Team>>())
+}
+
+#[test]
+/// Guards against a check that adds up scattered accelerators.
+fn scattered_accelerators_make_no_quad() {
+    let workers = fleet(&[("r", 2), ("r", 2), ("r", 3)]);
+    let quad = team(vec![guarantee(Level::Worker, 4, 1)]);
+
+    let shortfall = check(&workers, &[("cats", quad)]).unwrap_err();
+
+    assert_eq!(shortfall.missing, 1);
+    assert_eq!(
+        shortfall.to_string(),
+        "the machines of pool p have no room for 1 of the 1 set guaranteed to team cats: \
+         each needs 4 accelerators together in one machine"
+    );
+}
+
+#[test]
+/// Guards against refusing guarantees that fit exactly on workers and racks of odd sizes.
+fn odd_sizes_fit_exactly() {
+    let workers = fleet(&[("r", 8), ("r", 0), ("s", 6), ("s", 3), ("t", 2), ("t", 2), ("t", 2)]);
+    let teams = [
+        (
+            "a",
+            team(vec![guarantee(Level::Worker, 6, 1), guarantee(Level::Worker, 3, 1)]),
+        ),
+        (
+            "b",
+            team(vec![guarantee(Level::Worker, 4, 1), guarantee(Level::Worker, 2, 2)]),
+        ),
+        ("c", team(vec![guarantee(Level::Rack, 6, 1)])),
+    ];
+
+    assert_eq!(check(&workers, &teams), Ok(()));
+
+    let more = ("d", team(vec![guarantee(Level::Worker, 1, 1)]));
+    let teams = [&teams[..], &[more]].concat();
+    assert!(check(&workers, &teams).is_err());
+}
+
+#[test]
+/// Guards against a rack set that takes workers which another team needs whole.
+fn rack_sets_leave_large_workers_whole() {
+    let workers = fleet(&[("r", 8), ("r", 4), ("r", 4), ("s", 4)]);
+    let teams = [
+        ("a", team(vec![guarantee(Level::Rack, 8, 1)])),
+        ("b", team(vec![guarantee(Level::Worker, 8, 1)])),
+        ("c", team(vec![guarantee(Level::Worker, 4, 1)])),
+    ];
+
+    assert_eq!(check(&workers, &teams), Ok(()));
+}
+
+#[test]
+/// Guards against a loss that is not shown, and against a risk that stays after the repair.
+fn lost_capacity_is_at_risk_until_it_returns() {
+    let spec = worker("w", "r", 4);
+    let teams = [("a", team(vec![guarantee(Level::Worker, 4, 1)]))];
+    let mut world = World::new(scheduler(), std::slice::from_ref(&spec), &teams);
+    world.decide();
+    assert!(world.policy.at_risk().is_empty());
+
+    world.lose(&worker_name("w"));
+    world.decide();
+    let risk = world.policy.at_risk();
+    assert_eq!((risk.len(), risk[0].missing), (1, 1));
+
+    world.join(spec);
+    world.decide();
+    assert!(world.policy.at_risk().is_empty());
+}
+
+#[test]
+/// Guards against a new planner that forgets which sets the running jobs use.
+fn recovered_jobs_use_their_sets() {
+    let teams = [("a", team(vec![guarantee(Level::Worker, 2, 1)]))];
+    let mut world = World::new(scheduler(), &[worker("w", "r", 4)], &teams);
+    let mut first = job("first", "a", 2);
+    first.idempotent = false;
+    world.submit(first);
+    world.settle();
+    let running = world.running.values().next().unwrap().clone();
+    let mut next = World::new(scheduler(), &[worker("w", "r", 4)], &teams);
+    next.apply(Event::Recovered(yuccaridge::plan::RunningJob {
+        job: running.job.clone(),
+        seats: running.seats.clone(),
+        guaranteed: true,
+        started: next.now,
+    }));
+    next.running.insert(running.job.id.clone(), running.clone());
+
+    let mut second = job("second", "a", 2);
+    second.idempotent = false;
+    next.submit(second);
+    next.settle();
+
+    assert_eq!(next.running.len(), 1, "the guarantee is used up");
+    assert_eq!(next.policy.reserved()[0].seats, running.seats);
+}
+
+#[test]
+/// Guards against accepting shapes that no worker or rack can hold.
+fn impossible_shapes_are_known() {
+    let workers = fleet(&[("r", 4), ("r", 4), ("s", 8)]);
+    let shape = |accelerators, members, adjacent| Shape {
+        accelerators,
+        members,
+        adjacent,
+        ..Shape::default()
+    };
+    use yuccaridge::job::Adjacency::{Any, Rack, Worker};
+
+    assert!(can_hold(&workers, &shape(8, 1, Worker)));
+    assert!(!can_hold(&workers, &shape(9, 1, Any)));
+    assert!(can_hold(&workers, &shape(4, 4, Any)));
+    assert!(!can_hold(&workers, &shape(4, 3, Rack)));
+    assert!(!can_hold(&workers, &shape(1, 9, Worker)));
+}
+
+#[test]
+/// Guards against waiting for ever for what cannot be, and against giving up while workers are still being reported.
+fn impossible_jobs_are_rejected_once_the_workers_are_known() {
+    let mut world = World::new(scheduler(), &[worker("w", "r", 4)], &[]);
+    let spec = worker("v", "r", 2);
+    world.join(spec);
+    world.submit(job("big", "a", 8));
+    world.settle();
+    assert!(world.rejected.is_empty());
+
+    world.pass(20);
+    world.settle();
+
+    assert_eq!(world.rejected.values().copied().collect::<Vec<_>>(), [false]);
+}
