--- /dev/null
+++ b/src/config/platform.rs
@@ -0,0 +1,28 @@
+//! Addresses of the platform's services.
+
+use serde::{Deserialize, Serialize};
+
+use crate::platform::Address;
+
+/// Addresses as written.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BaseSettings {
+    /// Transactional table.
+    pub table: Option<Address>,
+    /// Object store.
+    pub objects: Option<Address>,
+    /// List of instances and workers.
+    pub list: Option<Address>,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bases {
+    /// Transactional table.
+    pub table: Address,
+    /// Object store.
+    pub objects: Address,
+    /// List of instances and workers.
+    pub list: Address,
+}
--- /dev/null
+++ b/src/instance/dispatch.rs
@@ -0,0 +1,59 @@
+//! Threads that carry out requests to workers, so that a silent worker holds up nobody but itself.
+
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use super::PoolRequest;
+use crate::planner::Answer;
+use crate::platform::{WorkerError, Workers};
+
+/// Requests to workers at the same time. With 500 ms for a request, a lost rack of 8 workers leaves most threads free.
+const THREADS: usize = 16;
+
+/// A request and what came of it.
+pub type Answered = (PoolRequest, Result<Answer, WorkerError>);
+
+/// The threads and their queue. The queue is bounded by the number of workers: each has one request at a time.
+#[derive(Debug)]
+pub struct Dispatch {
+    queue: flume::Sender<PoolRequest>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Dispatch {
+    /// Starts the threads; answers go to `answers`.
+    pub fn start(workers: &Arc<dyn Workers>, answers: &flume::Sender<Answered>) -> std::io::Result<Self> {
+        let (queue, requests) = flume::unbounded::<PoolRequest>();
+        let mut threads = Vec::new();
+        for number in 0..THREADS {
+            let (workers, requests, answers) = (Arc::clone(workers), requests.clone(), answers.clone());
+            let work = move || {
+                for asked in requests {
+                    let result = asked.request.carry_out(workers.as_ref());
+                    if answers.send((asked, result)).is_err() {
+                        return;
+                    }
+                }
+            };
+            threads.push(thread::Builder::new().name(format!("dispatch-{number}")).spawn(work)?);
+        }
+        Ok(Self { queue, threads })
+    }
+
+    /// Hands a request to the threads.
+    pub fn send(&self, request: PoolRequest) {
+        if self.queue.send(request).is_err() {
+            log::error!("no dispatch thread is left");
+        }
+    }
+
+    /// Finishes what was handed over, and ends the threads.
+    pub fn stop(self) {
+        drop(self.queue);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("a dispatch thread panicked");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/gateway.rs
@@ -0,0 +1,170 @@
+//! Requests of callers and operators, carried out by the controllers.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::{Core, Hint};
+use crate::accept;
+use crate::api::{ApiError, Code, Handler, JobState, JobView, StatusView, TicketView};
+use crate::job::Class;
+use crate::name::JobId;
+use crate::row::TicketState;
+use crate::team::Catalog;
+use crate::time::{Clock, Millis};
+
+/// Pause between two looks at a job that somebody waits for; a hint ends it early.
+const LOOK_EVERY: Millis = Millis(1000);
+/// Pause between two looks at a ticket that is not in force everywhere yet.
+const CONFIRM_EVERY: Millis = Millis(50);
+/// Time after which a ticket's sender is told that it is written but still pending. A lapsing session takes 3.5 s.
+const CONFIRM_MAX: Millis = Millis::from_secs(8);
+
+/// Requests of callers and operators at one instance.
+pub struct Gateway {
+    core: Arc<Core>,
+    clock: Arc<dyn Clock>,
+    draining: AtomicBool,
+}
+
+impl fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gateway")
+            .field("core", &self.core)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Gateway {
+    /// A gateway to these controllers.
+    pub fn new(core: Arc<Core>, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            core,
+            clock,
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Reports not ready from now on, and cuts long polls short.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    fn wake(&self, view: &JobView) {
+        if let Some(pool) = view.pool.clone() {
+            self.core.pools.wake(pool.clone(), view.id.clone());
+            self.core.hint(Hint::Wake {
+                pool,
+                job: view.id.clone(),
+            });
+        }
+    }
+}
+
+impl Handler for Gateway {
+    fn submit(&self, id: &JobId, body: &[u8], trace: Option<&str>) -> Result<JobView, ApiError> {
+        let now = self.clock.now();
+        let spec = accept::parse(body)?;
+        if spec.class == Class::Call {
+            return Err(ApiError::new(Code::BadRequest, "calls are not served yet"));
+        }
+        let view = self.core.accept.submit(now, id, body, trace)?;
+        if view.state == JobState::Queued {
+            self.wake(&view);
+        }
+        Ok(view)
+    }
+
+    fn job(&self, id: &JobId, wait: Millis) -> Result<JobView, ApiError> {
+        let end = self.clock.now() + wait;
+        let woken = (wait > Millis::ZERO).then(|| self.core.waiters.wait_for(id));
+        loop {
+            let view = self.core.accept.job(id)?;
+            let left = end.since(self.clock.now());
+            if view.state == JobState::Ended || left == Millis::ZERO || self.is_draining() {
+                drop(woken);
+                self.core.waiters.sweep(id);
+                return Ok(view);
+            }
+            if let Some(woken) = &woken {
+                // Woken or not, the row is looked at again.
+                let _ = woken.recv_timeout(left.min(LOOK_EVERY).duration());
+            }
+        }
+    }
+
+    fn cancel(&self, id: &JobId) -> Result<JobView, ApiError> {
+        let view = self.core.accept.cancel(self.clock.now(), id)?;
+        if view.state == JobState::Cancelling {
+            self.wake(&view);
+        } else if view.state == JobState::Ended {
+            self.core.waiters.wake(id);
+            self.core.hint(Hint::Ended(id.clone()));
+        }
+        Ok(view)
+    }
+
+    fn put_ticket(&self, number: u64, body: &[u8]) -> Result<TicketView, ApiError> {
+        let start = self.clock.now();
+        let mut view = self.core.tickets.put(start, number, body)?;
+        if view.state == TicketState::Pending {
+            self.core.hint(Hint::Head {
+                ticket: number,
+                live: true,
+            });
+            if let Err(error) = self.core.session.refresh(self.clock.now()) {
+                log::warn!("ticket {number}: not in force here yet: {error}");
+            }
+        }
+        while view.state == TicketState::Pending && self.clock.now().since(start) < CONFIRM_MAX {
+            match self.core.tickets.confirm(self.clock.now(), number) {
+                Ok(now) => view.state = now.state,
+                Err(error) => log::warn!("ticket {number}: {error}"),
+            }
+            if view.state == TicketState::Pending {
+                std::thread::sleep(CONFIRM_EVERY.duration());
+            }
+        }
+        Ok(view)
+    }
+
+    fn ticket(&self, number: u64) -> Result<TicketView, ApiError> {
+        Ok(self.core.tickets.get(number)?)
+    }
+
+    fn catalog(&self) -> Result<Catalog, ApiError> {
+        let catalog = self.core.session.catalog(self.clock.now());
+        let message = "this instance cannot tell which configuration is in force; try again in a few seconds";
+        catalog
+            .map(|catalog| catalog.as_ref().clone())
+            .ok_or_else(|| ApiError::new(Code::Unavailable, message))
+    }
+
+    fn status(&self) -> StatusView {
+        let now = self.clock.now();
+        let holders = self.core.pools.holders();
+        let pools = self.core.session.cached().pools.keys().cloned().collect::<Vec<_>>();
+        StatusView {
+            instance: self.core.session.instance().clone(),
+            ticket: self.core.session.cached().number,
+            session: self.core.session.is_live(now),
+            draining: self.is_draining(),
+            instances: self.core.member.live(now),
+            pools: pools
+                .into_iter()
+                .map(|pool| (pool.clone(), holders.get(&pool).cloned()))
+                .collect(),
+            waiting: self.core.pools.waiting(),
+            at_risk: self.core.pools.at_risk(),
+            quarantine: self.core.pools.quarantined(),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.is_draining() && self.core.session.is_live(self.clock.now())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,25 @@
 //! decisions come out. Controllers are driven by `step(now)` and reach the outside only through the traits in
 //! [`platform`], so that tests can run them with fakes and virtual time.
 
+pub mod accept;
 pub mod api;
+pub mod call;
+pub mod client;
+pub mod config;
+pub mod instance;
 pub mod job;
+pub mod logging;
+pub mod member;
+pub mod metric;
 pub mod name;
+pub mod peer;
 pub mod plan;
+pub mod planner;
 pub mod platform;
+pub mod route;
 pub mod row;
+pub mod session;
 pub mod team;
+pub mod ticket;
 pub mod time;
+pub mod trace;
--- a/src/plan/decide.rs
+++ b/src/plan/decide.rs
@@ -1,9 +1,11 @@
 //! The passes of a decision.
 
+use std::collections::BTreeMap;
+
 use super::book::flexible;
 use super::{Decision, Event, Policy, QueuedJob, Scheduler};
 use crate::job::Seat;
-use crate::name::JobId;
+use crate::name::{JobId, TeamName};
 use crate::time::Millis;
 
 /// A job that has waited this long goes before the fair order, and reclaims inside its team's guarantee.
@@ -36,6 +38,13 @@
 }
 
 impl Policy for Scheduler {
+    fn at_risk(&self) -> BTreeMap<TeamName, String> {
+        Self::at_risk(self)
+            .into_iter()
+            .map(|shortfall| (shortfall.team.clone(), shortfall.to_string()))
+            .collect()
+    }
+
     fn apply(&mut self, now: Millis, event: Event) {
         self.take_in(now, event);
     }
--- a/src/plan/guarantee.rs
+++ b/src/plan/guarantee.rs
@@ -14,7 +14,7 @@
 /// A guarantee that the fleet cannot hold next to all others.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error(
-    "the machines of pool {} have no room for {missing} of the {} guaranteed to team {team}: each needs {}",
+    "the workers of pool {} have no room for {missing} of the {} guaranteed to team {team}: each needs {}",
     .guarantee.pool, sets(.guarantee), needs(.guarantee)
 )]
 pub struct Shortfall {
@@ -35,7 +35,7 @@
 
 fn needs(guarantee: &Guarantee) -> String {
     let place = match guarantee.level {
-        Level::Worker => "in one machine",
+        Level::Worker => "on one worker",
         Level::Rack => "in one rack",
     };
     match guarantee.accelerators {
--- a/src/plan/scheduler.rs
+++ b/src/plan/scheduler.rs
@@ -133,6 +133,7 @@
         match event {
             Event::Teams(teams) => self.set_teams(&teams),
             Event::WorkerUp(spec) => self.worker_up(now, spec),
+            Event::WorkerQuarantined(name) => self.worker_quarantined(now, &name),
             Event::WorkerLeaving(name) => self.worker_leaving(&name),
             Event::WorkerDown(name) => self.worker_down(now, &name),
             Event::Queued(job) => self.queue(job),
@@ -171,6 +172,13 @@
         self.order.freed();
     }
 
+    fn worker_quarantined(&mut self, now: Millis, name: &WorkerName) {
+        let index = self.fleet.enter(name);
+        self.health.quarantine(now, name);
+        self.fleet.update(index, |worker| worker.quarantined = true);
+        self.disturb(index);
+    }
+
     fn worker_leaving(&mut self, name: &WorkerName) {
         let index = self.fleet.enter(name);
         self.fleet.update(index, |worker| worker.leaving = true);
--- /dev/null
+++ b/standin/src/command/mod.rs
@@ -0,0 +1,44 @@
+//! The subcommands.
+
+mod load;
+mod platform;
+mod worker;
+
+use clap::Subcommand;
+use miette::{IntoDiagnostic, Result};
+use signal_hook::consts::TERM_SIGNALS;
+use signal_hook::iterator::Signals;
+use standin::measure::Measure;
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Drive running instances and check their answers.
+    Load(load::LoadOptions),
+    /// Serve the table, the object store and the list.
+    Platform(platform::PlatformOptions),
+    /// Serve one or more workers.
+    Worker(worker::WorkerOptions),
+    /// Measure the product's decisions in virtual time.
+    #[command(subcommand)]
+    Measure(Measure),
+}
+
+impl Command {
+    /// Does it.
+    pub fn run(&self) -> Result<()> {
+        match self {
+            Self::Load(options) => options.run(),
+            Self::Platform(options) => options.run(),
+            Self::Worker(options) => options.run(),
+            Self::Measure(measure) => measure.run(),
+        }
+    }
+}
+
+/// Waits until the process is told to end.
+fn wait_for_end() -> Result<()> {
+    let mut signals = Signals::new(TERM_SIGNALS).into_diagnostic()?;
+    signals.forever().next();
+    Ok(())
+}
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -299,10 +299,12 @@
                 self.checkpoints
                     .insert(object.clone(), task.left_ms.saturating_sub(worked));
             }
-            (Action::Forget, state) if !matches!(state, TaskState::Running | TaskState::Stopping) => {
+            (Action::Forget, state) => {
                 let state = state.clone();
-                if task.is_active() {
-                    self.note(now, &key, Deed::Refused);
+                match state {
+                    TaskState::Held => self.note(now, &key, Deed::Refused),
+                    TaskState::Running | TaskState::Stopping => self.note(now, &key, Deed::Stopped),
+                    _ => {}
                 }
                 self.tasks.remove(&key);
                 return Reply::Task { state };
@@ -407,7 +409,7 @@
     /// Starts a call; when it ends, and the parts of its answer.
     pub fn call(&mut self, now: Millis, call: &CallRequest) -> Result<(Millis, Vec<CallPart>), WorkerError> {
         let key = (call.job.clone(), call.attempt);
-        if self.refused.contains(&key) {
+        if self.refused.contains(&key) || call.boot.is_some_and(|boot| boot != self.boot) {
             return Err(WorkerError::Refused);
         }
         if let Some(known) = self.calls.get(&key) {
