Probe before the fair order; count only the borrowers that go

Cause: all small jobs were placed before a quarantined worker could get one, and a cell's place was charged for borrowers that the job did not need gone. Change: probes come before the fair order; the cost of a place is that of the cheapest borrowers for the job's need. Ruled out: keeping a job back for probes.

--- a/src/plan/decide.rs
+++ b/src/plan/decide.rs
@@ -60,8 +60,8 @@
         self.try_urgent(now, &mut searches, &mut out);
         self.try_aged(now, &mut searches, &mut out);
         self.try_reserved(now, &mut out);
-        self.try_fair(now, &mut searches, &mut out);
         self.probe(now, &mut out);
+        self.try_fair(now, &mut searches, &mut out);
         out
     }
 
@@ -196,7 +196,7 @@
         self.drop_job(id);
         out.push(Decision::Reject {
             job: id.clone(),
-            reason: "no machine, rack or domain of this pool is large enough for the job, even when empty".to_owned(),
+            reason: "no worker, rack or domain of this pool is large enough for the job, even when empty".to_owned(),
             failed: false,
         });
     }
--- a/src/plan/health.rs
+++ b/src/plan/health.rs
@@ -225,7 +225,7 @@
         if workers.len() >= JOB_FAILURES_MAX {
             let names = workers.iter().map(WorkerName::as_str).collect::<Vec<_>>();
             return Some(format!(
-                "the job failed on {} different machines that run other jobs well: {}",
+                "the job failed on {} different workers that run other jobs well: {}",
                 names.len(),
                 names.join(", ")
             ));
--- a/src/plan/reclaim.rs
+++ b/src/plan/reclaim.rs
@@ -37,6 +37,27 @@
     cost + (ran.as_secs_f64() * f64::from(size)).min(RESTART_COST / 2.0)
 }
 
+/// Least cost of vacating `need` accelerators of a mask.
+fn loss(now: Millis, team: &TeamName, worker: &Worker, mask: u64, need: u32) -> f64 {
+    let mut free = (mask & worker.free()).count_ones();
+    let mut costs = Vec::new();
+    for task in &worker.tasks {
+        if !task.firm && task.mask & mask != 0 {
+            costs.push((stop_cost(now, team, task), (task.mask & mask).count_ones()));
+        }
+    }
+    costs.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut total = 0.0;
+    for (cost, count) in costs {
+        if free >= need {
+            break;
+        }
+        total += cost;
+        free += count;
+    }
+    total
+}
+
 impl Scheduler {
     /// Stops borrowers in the team's guarantee and claims their seats for a job; `false` if the guarantee is used up.
     pub(super) fn reclaim(&mut self, now: Millis, job: &QueuedJob, out: &mut Vec<Decision>) -> bool {
@@ -67,19 +88,14 @@
             if self.cells.used(&self.fleet, index) {
                 continue;
             }
-            let loss = |worker: &Worker, mask: u64| {
+            let place_cost = |worker: &Worker, mask: u64| {
                 if worker.paused > now || mask & (worker.claimed | worker.firm) != 0 {
                     return None;
                 }
-                let mut cost = 0.0;
-                for task in &worker.tasks {
-                    if task.mask & mask != 0 {
-                        cost += stop_cost(now, &job.team, task);
-                    }
-                }
-                Some(cost)
+                let need = size.min(job.shape.total_accelerators());
+                Some(loss(now, &job.team, worker, mask, need))
             };
-            if let Some(best) = self.best_move(index, size, false, &Worker::free, loss) {
+            if let Some(best) = self.best_move(index, size, false, &Worker::free, place_cost) {
                 self.move_cell(index, best);
             }
             found += size;
@@ -100,12 +116,8 @@
             if members == 0 {
                 continue;
             }
-            let mut cost = 0.0;
-            for task in &worker.tasks {
-                if !task.firm && task.mask & free != 0 {
-                    cost += stop_cost(now, &job.team, task);
-                }
-            }
+            let need = (members * u64::from(job.shape.accelerators)) as u32;
+            let cost = loss(now, &job.team, worker, free, need);
             offers.push(Offer {
                 worker: index,
                 members,
--- a/src/plan/scheduler.rs
+++ b/src/plan/scheduler.rs
@@ -417,7 +417,7 @@
         }
         let workers = workers.into_iter().collect::<Vec<_>>();
         // A resumed job ran only its rest, which says nothing about the whole.
-        if let (Some(started), true) = (held.started, job.attempt <= 1) {
+        if let (Some(started), true) = (held.started, job.attempt == 0 || !job.checkpoints) {
             let took = now.since(started);
             self.estimates
                 .finished(&job.team, &job.kind, job.declared, took, &workers);
@@ -448,7 +448,7 @@
         self.disturb(index);
         self.outbox.push(Decision::Quarantine {
             worker: site.worker,
-            reason: "many different jobs that run well elsewhere failed on this machine".to_owned(),
+            reason: "many different jobs that run well elsewhere failed on this worker".to_owned(),
         });
     }
 
