--- a/tests/plan/guarantee.rs
+++ b/tests/plan/guarantee.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use yuccaridge::job::Adjacency::{Any, Rack, Worker};
 use yuccaridge::job::Shape;
 use yuccaridge::name::{TeamName, WorkerName};
 use yuccaridge::plan::{Event, Shortfall, WorkerSpec, can_hold, fit_guarantees};
@@ -132,8 +133,6 @@
         adjacent,
         ..Shape::default()
     };
-    use yuccaridge::job::Adjacency::{Any, Rack, Worker};
-
     assert!(can_hold(&workers, &shape(8, 1, Worker)));
     assert!(!can_hold(&workers, &shape(9, 1, Any)));
     assert!(can_hold(&workers, &shape(4, 4, Any)));
