Add delays, repeats, disorder and lagging lists to the fakes

Cause: a fault matrix needs more than lost requests and answers.

Change: a hook can hold a request back until the link delivers it, let it arrive twice, or bring a call's parts reversed, repeated, shortened or mixed with an older attempt's. A link can show any list. A put of an object is asked about on both sides. A call whose work takes longer than its time limit is lost and runs on; before, its answer came at once.

Ruled out: a fault for slowness, because a hook that advances the clock does that already. Moving the clock within a call, because it would let time pass for every other instance of the test.

Conclusion: the faults of the matrix can be injected per link.

--- a/standin/src/fake.rs
+++ b/standin/src/fake.rs
@@ -16,6 +16,9 @@
 };
 use yuccaridge::time::{Clock, Millis};
 
+pub use crate::fault::{Disorder, Fault, Point, Side};
+
+use crate::fault::Delayed;
 use crate::record::Entry;
 use crate::table::{MemoryObjects, MemoryTable};
 use crate::worker::Worker;
@@ -37,35 +40,6 @@
     }
 }
 
-/// Side of a request on which a hook is asked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Side {
-    /// Nothing was sent yet.
-    Before,
-    /// The request took effect; its answer is under way.
-    After,
-}
-
-/// Where a hook is asked.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Point {
-    /// Step of the request.
-    pub step: Step,
-    /// Before or after it took effect.
-    pub side: Side,
-    /// Worker that it goes to, if it goes to one.
-    pub worker: Option<WorkerName>,
-}
-
-/// What a hook wants to happen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
-    /// Go on.
-    None,
-    /// The request or its answer is lost.
-    Cut,
-}
-
 type Hook = Arc<dyn Fn(&Point) -> Fault + Send + Sync>;
 
 #[derive(Debug, Default)]
@@ -139,6 +113,8 @@
 pub struct Link {
     platform: Arc<Platform>,
     hook: Mutex<Hook>,
+    delayed: Mutex<Vec<Delayed>>,
+    list: Mutex<Option<Listed>>,
 }
 
 impl fmt::Debug for Link {
@@ -153,6 +129,8 @@
         Arc::new(Self {
             platform: Arc::clone(platform),
             hook: Mutex::new(Arc::new(|_| Fault::None)),
+            delayed: Mutex::new(Vec::new()),
+            list: Mutex::new(None),
         })
     }
 
@@ -164,6 +142,32 @@
         *self.hook.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(hook);
     }
 
+    /// Shows this list from now on, whatever the platform's is: an older one for a list that lags, any other for one
+    /// that is wrong. `None` shows the platform's again.
+    pub fn set_list(&self, list: Option<Listed>) {
+        *self.list.lock().unwrap_or_else(PoisonError::into_inner) = list;
+    }
+
+    /// Lets the requests that were held back take effect, in the order in which they were sent; their number. Nobody
+    /// hears their answers.
+    pub fn deliver(&self) -> usize {
+        let delayed = std::mem::take(&mut *self.delayed.lock().unwrap_or_else(PoisonError::into_inner));
+        for request in &delayed {
+            match request {
+                Delayed::Commit(txn) => drop(self.platform.table.commit(txn)),
+                Delayed::Object(name, bytes) => drop(self.platform.objects.put(name, bytes)),
+                Delayed::Command(address, batch) => {
+                    drop(self.reach(*address, |worker, now| Ok(worker.command(now, batch))));
+                }
+                Delayed::Call(address, call) => drop(self.reach(*address, |worker, now| worker.call(now, call))),
+                Delayed::Refuse(address, job, attempt) => {
+                    drop(self.reach(*address, |worker, now| Ok(worker.refuse(now, job, *attempt))));
+                }
+            }
+        }
+        delayed.len()
+    }
+
     fn ask(&self, step: Step, side: Side, worker: Option<&WorkerName>) -> Fault {
         let hook = Arc::clone(&self.hook.lock().unwrap_or_else(PoisonError::into_inner));
         hook(&Point {
@@ -173,12 +177,23 @@
         })
     }
 
-    fn table_request<F, T>(&self, step: Step, f: F) -> Result<T, TableError>
+    fn hold_back(&self, request: Option<Delayed>) {
+        let mut delayed = self.delayed.lock().unwrap_or_else(PoisonError::into_inner);
+        delayed.extend(request);
+    }
+
+    fn table_request<F, T>(&self, step: Step, delayed: Option<Delayed>, f: F) -> Result<T, TableError>
     where
-        F: FnOnce(&MemoryTable) -> Result<T, TableError>,
+        F: Fn(&MemoryTable) -> Result<T, TableError>,
     {
-        if self.ask(step, Side::Before, None) == Fault::Cut {
-            return Err(TableError::Unavailable("cut".to_owned()));
+        match self.ask(step, Side::Before, None) {
+            Fault::Cut => return Err(TableError::Unavailable("cut".to_owned())),
+            Fault::Delay => {
+                self.hold_back(delayed);
+                return Err(TableError::Unknown("delayed".to_owned()));
+            }
+            Fault::Repeat => drop(f(&self.platform.table)),
+            Fault::None | Fault::Parts(_) => {}
         }
         let answer = f(&self.platform.table);
         if self.ask(step, Side::After, None) == Fault::Cut {
@@ -187,9 +202,27 @@
         answer
     }
 
-    fn worker_request<F, T>(&self, step: Step, address: Address, f: F) -> Result<T, WorkerError>
+    /// Something done by the worker at this address, if one answers there.
+    fn reach<F, T>(&self, address: Address, f: F) -> Result<T, WorkerError>
     where
         F: FnOnce(&mut Worker, Millis) -> Result<T, WorkerError>,
+    {
+        match self.platform.fleet().workers.get_mut(&address) {
+            Some(worker) if worker.is_alive() => f(worker, self.platform.clock.now()),
+            _ => Err(WorkerError::Unreached("nobody answers".to_owned())),
+        }
+    }
+
+    /// Makes a request to a worker; the answer, and what is to happen to it.
+    fn worker_request<F, T>(
+        &self,
+        step: Step,
+        address: Address,
+        delayed: Option<Delayed>,
+        f: F,
+    ) -> Result<(T, Fault), WorkerError>
+    where
+        F: Fn(&mut Worker, Millis) -> Result<T, WorkerError>,
     {
         let name = self
             .platform
@@ -197,55 +230,74 @@
             .workers
             .get(&address)
             .map(|worker| worker.listed().name.clone());
-        if self.ask(step, Side::Before, name.as_ref()) == Fault::Cut {
-            return Err(WorkerError::Unreached("cut".to_owned()));
+        match self.ask(step, Side::Before, name.as_ref()) {
+            Fault::Cut => return Err(WorkerError::Unreached("cut".to_owned())),
+            Fault::Delay => {
+                self.hold_back(delayed);
+                return Err(WorkerError::Lost("delayed".to_owned()));
+            }
+            Fault::Repeat => drop(self.reach(address, &f)),
+            Fault::None | Fault::Parts(_) => {}
         }
-        let answer = match self.platform.fleet().workers.get_mut(&address) {
-            Some(worker) if worker.is_alive() => f(worker, self.platform.clock.now()),
-            _ => return Err(WorkerError::Unreached("nobody answers".to_owned())),
-        };
-        if self.ask(step, Side::After, name.as_ref()) == Fault::Cut {
-            return Err(WorkerError::Lost("cut".to_owned()));
+        let answer = self.reach(address, &f);
+        if matches!(answer, Err(WorkerError::Unreached(_))) {
+            return answer.map(|answer| (answer, Fault::None));
+        }
+        match self.ask(step, Side::After, name.as_ref()) {
+            Fault::Cut => Err(WorkerError::Lost("cut".to_owned())),
+            fault => answer.map(|answer| (answer, fault)),
         }
-        answer
     }
 }
 
 impl Table for Link {
     fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, TableError> {
-        self.table_request(Step::Read, |table| table.read(keys))
+        self.table_request(Step::Read, None, |table| table.read(keys))
     }
 
     fn scan(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page, TableError> {
-        self.table_request(Step::Read, |table| table.scan(prefix, after, limit))
+        self.table_request(Step::Read, None, |table| table.scan(prefix, after, limit))
     }
 
     fn commit(&self, txn: &Txn) -> Result<Version, TableError> {
-        self.table_request(txn.step, |table| table.commit(txn))
+        let delayed = Delayed::Commit(txn.clone());
+        self.table_request(txn.step, Some(delayed), |table| table.commit(txn))
     }
 }
 
 impl Objects for Link {
     fn put(&self, name: &str, bytes: &[u8]) -> Result<(), ObjectError> {
-        if self.ask(Step::Object, Side::Before, None) == Fault::Cut {
-            return Err(ObjectError::Unavailable("cut".to_owned()));
+        match self.ask(Step::Object, Side::Before, None) {
+            Fault::Cut => return Err(ObjectError::Unavailable("cut".to_owned())),
+            Fault::Delay => {
+                self.hold_back(Some(Delayed::Object(name.to_owned(), bytes.to_vec())));
+                return Err(ObjectError::Unavailable("delayed".to_owned()));
+            }
+            _ => {}
+        }
+        self.platform.objects.put(name, bytes)?;
+        match self.ask(Step::Object, Side::After, None) {
+            Fault::Cut => Err(ObjectError::Unavailable("cut".to_owned())),
+            _ => Ok(()),
         }
-        self.platform.objects.put(name, bytes)
     }
 
     fn get(&self, name: &str) -> Result<Vec<u8>, ObjectError> {
-        if self.ask(Step::Object, Side::Before, None) == Fault::Cut {
-            return Err(ObjectError::Unavailable("cut".to_owned()));
+        match self.ask(Step::Object, Side::Before, None) {
+            Fault::Cut | Fault::Delay => Err(ObjectError::Unavailable("cut".to_owned())),
+            _ => self.platform.objects.get(name),
         }
-        self.platform.objects.get(name)
     }
 }
 
 impl Listing for Link {
     fn list(&self) -> Result<Listed, ListingError> {
-        if self.ask(Step::List, Side::Before, None) == Fault::Cut {
+        if matches!(self.ask(Step::List, Side::Before, None), Fault::Cut | Fault::Delay) {
             return Err(ListingError("cut".to_owned()));
         }
+        if let Some(list) = &*self.list.lock().unwrap_or_else(PoisonError::into_inner) {
+            return Ok(list.clone());
+        }
         let fleet = self.platform.fleet();
         Ok(Listed {
             workers: fleet.workers.values().map(|worker| worker.listed().clone()).collect(),
@@ -260,24 +312,38 @@
             .commands
             .first()
             .map_or(Step::RenewTasks, |command| command.action.step());
-        self.worker_request(step, address, |worker, now| Ok(worker.command(now, batch)))
+        let delayed = Delayed::Command(address, batch.clone());
+        let answer = self.worker_request(step, address, Some(delayed), |worker, now| {
+            Ok(worker.command(now, batch))
+        });
+        answer.map(|(replies, _)| replies)
     }
 
     fn report(&self, address: Address) -> Result<Report, WorkerError> {
-        self.worker_request(Step::Report, address, |worker, now| Ok(worker.report(now)))
+        let answer = self.worker_request(Step::Report, address, None, |worker, now| Ok(worker.report(now)));
+        answer.map(|(report, _)| report)
     }
 
-    fn call(&self, address: Address, call: &CallRequest, _timeout: Millis) -> Result<Vec<CallPart>, WorkerError> {
-        self.worker_request(Step::Send, address, |worker, now| {
-            worker.call(now, call).map(|(_, parts)| parts)
-        })
+    fn call(&self, address: Address, call: &CallRequest, timeout: Millis) -> Result<Vec<CallPart>, WorkerError> {
+        let sent = self.platform.clock.now();
+        let delayed = Delayed::Call(address, call.clone());
+        let answer = self.worker_request(Step::Send, address, Some(delayed), |worker, now| worker.call(now, call));
+        let ((end, parts), fault) = answer?;
+        // The clock stands still during a call, so an answer that comes in time comes at once.
+        if end.since(sent) > timeout {
+            return Err(WorkerError::Lost("the time ran out".to_owned()));
+        }
+        match fault {
+            Fault::Parts(disorder) => Ok(disorder.apply(parts)),
+            _ => Ok(parts),
+        }
     }
 
     fn refuse(&self, address: Address, job: &JobId, attempt: u32) -> Result<Refusal, WorkerError> {
-        self.worker_request(
-            Step::Refuse,
-            address,
-            |worker, now| Ok(worker.refuse(now, job, attempt)),
-        )
+        let delayed = Delayed::Refuse(address, job.clone(), attempt);
+        let answer = self.worker_request(Step::Refuse, address, Some(delayed), |worker, now| {
+            Ok(worker.refuse(now, job, attempt))
+        });
+        answer.map(|(refusal, _)| refusal)
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`server`] puts them behind HTTP in real time.
 
 pub mod fake;
+pub mod fault;
 pub mod load;
 pub mod measure;
 pub mod record;
--- /dev/null
+++ b/standin/tests/fake.rs
@@ -0,0 +1,237 @@
+//! The faults that a link injects do what their names say, and nothing else.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use serde_json::json;
+use standin::fake::{Disorder, Fault, Link, Platform, Side};
+use standin::record::Deed;
+use standin::worker::Worker;
+use yuccaridge::name::{DomainName, JobId, KindName, PoolName, RackName, TeamName, WorkerName};
+use yuccaridge::platform::{
+    Action, Address, Batch, CallRequest, Check, Command, ListedWorker, Listing, ObjectError, Objects, OpId, Presence,
+    Put, Refusal, Reply, Step, Table, TableError, TaskState, Txn, WorkerError, Workers,
+};
+use yuccaridge::time::{Clock, Millis};
+
+const TIMEOUT: Millis = Millis::from_secs(1);
+
+fn address() -> Address {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 1))
+}
+
+fn world() -> (Arc<Platform>, Arc<Link>) {
+    let platform = Platform::new();
+    let listed = ListedWorker {
+        name: WorkerName::new("w").unwrap(),
+        address: address(),
+        rack: RackName::new("r").unwrap(),
+        domain: DomainName::new("d").unwrap(),
+        cores: 8,
+        memory_mb: 1024,
+        accelerators: 1,
+        slots: 8,
+        connections: 8,
+        presence: Presence::Live,
+    };
+    platform.add_worker(Worker::new(listed, 1.0));
+    let link = Link::new(&platform);
+    (platform, link)
+}
+
+/// Injects a fault at one side of all requests of a step.
+fn inject(link: &Link, step: Step, side: Side, fault: Fault) {
+    link.set_hook(move |point| {
+        if point.step == step && point.side == side {
+            fault
+        } else {
+            Fault::None
+        }
+    });
+}
+
+fn write(op: &str, version: u64) -> Txn {
+    Txn {
+        step: Step::Accept,
+        op: OpId(op.to_owned()),
+        checks: vec![Check {
+            key: "job/1".to_owned(),
+            version,
+        }],
+        puts: vec![Put {
+            key: "job/1".to_owned(),
+            value: Some(json!(op)),
+        }],
+    }
+}
+
+fn writer(platform: &Platform) -> Option<String> {
+    let row = platform.table.read(&["job/1".to_owned()]).unwrap().remove(0);
+    row.map(|row| row.op.0)
+}
+
+fn call(work_ms: u64) -> CallRequest {
+    CallRequest {
+        job: JobId::new("c1").unwrap(),
+        attempt: 2,
+        team: TeamName::new("t").unwrap(),
+        kind: KindName::new("k").unwrap(),
+        deadline_ms: TIMEOUT.0,
+        trace: None,
+        payload: json!({ "work_ms": work_ms, "parts": 2 }),
+    }
+}
+
+fn start() -> Batch {
+    let command = |action| Command {
+        job: JobId::new("j1").unwrap(),
+        attempt: 1,
+        member: 0,
+        action,
+    };
+    let prepare = Action::Prepare {
+        kind: KindName::new("k").unwrap(),
+        cores: 1,
+        memory_mb: 1,
+        accelerators: vec![0],
+        members: 1,
+        payload: json!({ "work_ms": 600_000 }),
+        checkpoint: None,
+    };
+    Batch {
+        pool: PoolName::new("p").unwrap(),
+        epoch: 1,
+        boot: None,
+        renew_ms: None,
+        commands: vec![command(prepare), command(Action::Release)],
+    }
+}
+
+fn deeds(platform: &Platform) -> Vec<Deed> {
+    platform.record().into_iter().map(|entry| entry.deed).collect()
+}
+
+#[test]
+fn hook_makes_the_table_slow() {
+    let (platform, link) = world();
+    let clock = Arc::clone(&platform);
+    link.set_hook(move |point| {
+        if point.side == Side::After {
+            clock.clock.advance(Millis::from_secs(5));
+        }
+        Fault::None
+    });
+    link.commit(&write("a", 0)).unwrap();
+    assert_eq!(platform.clock.now(), Millis::from_secs(5));
+}
+
+/// Guards against a delayed transaction that takes effect at once, or never.
+#[test]
+fn delayed_commit_takes_effect_on_delivery() {
+    let (platform, link) = world();
+    inject(&link, Step::Accept, Side::Before, Fault::Delay);
+    let error = link.commit(&write("a", 0)).unwrap_err();
+    assert!(matches!(error, TableError::Unknown(_)));
+    assert_eq!(writer(&platform), None);
+    assert_eq!((link.deliver(), link.deliver()), (1, 0));
+    assert_eq!(writer(&platform).as_deref(), Some("a"));
+}
+
+#[test]
+fn delayed_commit_still_checks_on_delivery() {
+    let (platform, link) = world();
+    inject(&link, Step::Accept, Side::Before, Fault::Delay);
+    link.commit(&write("a", 0)).unwrap_err();
+    Link::new(&platform).commit(&write("b", 0)).unwrap();
+    link.deliver();
+    assert_eq!(writer(&platform).as_deref(), Some("b"));
+}
+
+#[test]
+fn delayed_commands_are_carried_out_on_delivery() {
+    let (platform, link) = world();
+    inject(&link, Step::Prepare, Side::Before, Fault::Delay);
+    let error = link.command(address(), &start()).unwrap_err();
+    assert!(matches!(error, WorkerError::Lost(_)));
+    assert_eq!(deeds(&platform), []);
+    link.deliver();
+    assert_eq!(deeds(&platform), [Deed::Held, Deed::Started]);
+}
+
+#[test]
+fn refusal_outruns_a_delayed_call() {
+    let (platform, link) = world();
+    inject(&link, Step::Send, Side::Before, Fault::Delay);
+    let error = link.call(address(), &call(0), TIMEOUT).unwrap_err();
+    assert!(!error.is_unstarted());
+    assert_eq!(link.refuse(address(), &call(0).job, 2), Ok(Refusal::Refused));
+    link.deliver();
+    assert_eq!(deeds(&platform), [Deed::Refused]);
+}
+
+#[test]
+fn repeated_commands_start_once() {
+    let (platform, link) = world();
+    inject(&link, Step::Prepare, Side::Before, Fault::Repeat);
+    let replies = link.command(address(), &start()).unwrap();
+    let running = Reply::Task {
+        state: TaskState::Running,
+    };
+    assert_eq!(replies, [running.clone(), running]);
+    assert_eq!(deeds(&platform), [Deed::Held, Deed::Started]);
+}
+
+#[test]
+fn parts_arrive_in_disorder() {
+    let expected: [(Disorder, &[(u32, u32)]); 4] = [
+        (Disorder::Reversed, &[(2, 1), (2, 0)]),
+        (Disorder::Repeated, &[(2, 0), (2, 0), (2, 1), (2, 1)]),
+        (Disorder::Shortened, &[(2, 0)]),
+        (Disorder::Older, &[(1, 0), (2, 0), (1, 1), (2, 1)]),
+    ];
+    for (disorder, expected) in expected {
+        let (_, link) = world();
+        inject(&link, Step::Send, Side::After, Fault::Parts(disorder));
+        let parts = link.call(address(), &call(0), TIMEOUT).unwrap();
+        let found: Vec<_> = parts.iter().map(|part| (part.attempt, part.sequence)).collect();
+        assert_eq!(found, expected, "{disorder:?}");
+    }
+}
+
+/// Guards against an answer that arrives although its call has run out of time.
+#[test]
+fn call_beyond_its_time_is_lost_and_runs_on() {
+    let (platform, link) = world();
+    let request = call(TIMEOUT.0 + 1);
+    let error = link.call(address(), &request, TIMEOUT).unwrap_err();
+    assert!(matches!(error, WorkerError::Lost(_)));
+    assert_eq!(link.refuse(address(), &request.job, 2), Ok(Refusal::Running));
+    platform.clock.advance(TIMEOUT + TIMEOUT);
+    let refusal = link.refuse(address(), &request.job, 2).unwrap();
+    assert!(matches!(refusal, Refusal::Ended { .. }));
+}
+
+#[test]
+fn list_lags_until_it_is_set_free() {
+    let (platform, link) = world();
+    let old = link.list().unwrap();
+    link.set_list(Some(old.clone()));
+    platform.with_worker(&old.workers[0].name, |worker, _| {
+        worker.listed_mut().presence = Presence::Leaving;
+    });
+    assert_eq!(link.list(), Ok(old));
+    link.set_list(None);
+    assert_eq!(link.list().unwrap().workers[0].presence, Presence::Leaving);
+}
+
+#[test]
+fn object_store_goes_down_before_and_after_a_put() {
+    let (platform, link) = world();
+    inject(&link, Step::Object, Side::Before, Fault::Cut);
+    assert!(matches!(link.put("a", b"x"), Err(ObjectError::Unavailable(_))));
+    assert!(matches!(link.get("a"), Err(ObjectError::Unavailable(_))));
+    assert!(platform.objects.get("a").is_err());
+    inject(&link, Step::Object, Side::After, Fault::Cut);
+    assert!(matches!(link.put("a", b"x"), Err(ObjectError::Unavailable(_))));
+    assert_eq!(platform.objects.get("a").as_deref(), Ok(&b"x"[..]));
+}
