--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod api;
+pub mod call;
 pub mod client;
 pub mod config;
 pub mod instance;
@@ -14,6 +15,7 @@
 pub mod member;
 pub mod metric;
 pub mod name;
+pub mod peer;
 pub mod plan;
 pub mod planner;
 pub mod platform;
