Describe the platform's wire format, and fit the load tool to boots

Cause: whoever connects a real platform had only the code to go by; and after the merge of calls, CallRequest has a boot that the load tool did not set, so the workspace did not build.

Change: docs/platform.md describes table, objects, list and workers with units, limits and what each error promises. A test reads the page's examples with the adapters' types and writes them back unchanged. The load tool and the fakes' tests name no boot.

--- a/standin/tests/fake.rs
+++ b/standin/tests/fake.rs
@@ -76,6 +76,7 @@
         attempt: 2,
         team: TeamName::new("t").unwrap(),
         kind: KindName::new("k").unwrap(),
+        boot: None,
         deadline_ms: TIMEOUT.0,
         trace: None,
         payload: json!({ "work_ms": work_ms, "parts": 2 }),
--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -3,6 +3,7 @@
 mod commits;
 mod fixture;
 mod lists;
+mod page;
 mod parts;
 mod raw;
 mod reads;
