Say not run only about requests that ask for work

Cause: a refused lookup carried not_run, which a caller can read as a statement about the job itself; a lookup that failed for lack of the table ended the command with the code for "not run". Ruled out: leaving not_run out of refused lookups, since the error body has a fixed form. Conclusion: not_run is about the request, and exit code 4 only stands for a request that was not run.

--- a/src/api/route.rs
+++ b/src/api/route.rs
@@ -84,7 +84,7 @@
         matches!(self, Self::Health | Self::Ready | Self::Metrics | Self::Status)
     }
 
-    /// Whether a body is expected.
+    /// Whether the route asks for something to be done, and has a body that says what.
     pub fn has_body(&self) -> bool {
         matches!(self, Self::Submit(_) | Self::PutTicket(_))
     }
--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -39,7 +39,7 @@
         let result = match (entered, route) {
             (_, Err(e)) => Err(e),
             (_, Ok(route)) if route.is_local() => Ok(self.local(&route)),
-            (Err(closed), Ok(_)) => Err(refusal(closed)),
+            (Err(closed), Ok(route)) => Err(refusal(closed, &route)),
             (Ok(()), Ok(route)) => self.handle(request, &route, &hop),
         };
         let answer = match result {
@@ -71,7 +71,7 @@
         } else {
             Vec::new()
         };
-        self.gate.admit().map_err(refusal)?;
+        self.gate.admit().map_err(|closed| refusal(closed, route))?;
         let call = || self.call(route, &bytes, hop);
         // A fault in the handler must cost one request, not the connection: its caller is told that the result is open.
         match catch_unwind(AssertUnwindSafe(call)) {
@@ -114,17 +114,20 @@
     }
 }
 
-fn refusal(closed: Closed) -> ApiError {
-    match closed {
+fn refusal(closed: Closed, route: &Route) -> ApiError {
+    let mut error = match closed {
         Closed::Full => ApiError::new(
             Code::Busy,
-            "This instance has as many requests as it can hold. Nothing was run. Try again in a second.",
+            "This instance has as many requests as it can hold. This request was not run; send it again in a second.",
         ),
         Closed::Stopping => ApiError::new(
             Code::Draining,
-            "This instance is shutting down. Nothing was run. Send the request to another instance.",
+            "This instance is shutting down. This request was not run; send it to another instance.",
         ),
-    }
+    };
+    // A refused lookup or cancel says nothing about whether the job itself ran.
+    error.not_run = route.has_body();
+    error
 }
 
 /// Leaves a connection whose next body cannot be discarded.
--- a/src/bin/yuccaridge/exit.rs
+++ b/src/bin/yuccaridge/exit.rs
@@ -5,7 +5,7 @@
 
 use miette::{LabeledSpan, MietteDiagnostic, NamedSource, Report};
 use serde_json::json;
-use yuccaridge::api::{ApiError, Code, JobView};
+use yuccaridge::api::{ApiError, JobView};
 use yuccaridge::client::ClientError;
 use yuccaridge::config::ConfigError;
 use yuccaridge::job::Outcome;
@@ -46,10 +46,10 @@
     }
 
     fn of_error(error: &ApiError) -> Self {
-        match error.code {
-            Code::Unknown => Self::Unknown,
-            _ if error.repeat => Self::NotRun,
-            _ => Self::Refused,
+        match (error.repeat, error.not_run) {
+            (true, true) => Self::NotRun,
+            (true, false) => Self::Unknown,
+            (false, _) => Self::Refused,
         }
     }
 }
@@ -141,9 +141,10 @@
             Self::Config(error) => plain(&error.to_string()),
             Self::Client(ClientError::Refused(error)) => {
                 let help = match (error.repeat, error.not_run) {
-                    (true, true) => "Nothing was run. You may repeat the same request.",
+                    (true, true) => "This request was not run. You may send the same request again.",
                     (true, false) => "Ask again with the same id or number.",
-                    (false, _) => "Nothing was run. Repeating the same request will not help.",
+                    (false, true) => "This request was not run. Sending the same request again will not help.",
+                    (false, false) => "Sending the same request again will not help.",
                 };
                 Report::new(MietteDiagnostic::new(error.message).with_help(help))
             }
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -224,6 +224,8 @@
             (429, &"busy".into(), &true.into())
         );
         assert!(head.contains("Retry-After: 1"), "{head}");
+        // A refused lookup must not be read as a statement about the job.
+        assert_eq!(send(&server, "GET", "/v1/jobs/slow.1", "").2["not_run"], false);
         assert_eq!(send(&server, "GET", "/readyz", "").0, 200);
         fake.release();
     });
