--- a/src/planner/exchange.rs
+++ b/src/planner/exchange.rs
@@ -15,6 +15,8 @@
 const REPORT_CHANGING: Millis = Millis(200);
 const REPORT_RUNNING: Millis = Millis(1000);
 const REPORT_IDLE: Millis = Millis::from_secs(10);
+/// Time in which a new attempt is asked for often, since it may be a short job or fail at once.
+const YOUNG: Millis = Millis::from_secs(5);
 /// Commands in one request.
 const COMMANDS_MAX: usize = 256;
 
@@ -31,7 +33,7 @@
 impl Planner {
     /// Requests that are due.
     pub(super) fn requests(&mut self, now: Millis, renew: bool) -> Vec<Request> {
-        let mut needs = self.needs();
+        let mut needs = self.needs(now);
         let pool = self.ledger.pool.clone();
         let epoch = self.ledger.epoch;
         let mut requests = Vec::new();
@@ -77,7 +79,7 @@
         requests
     }
 
-    fn needs(&self) -> BTreeMap<WorkerName, Needs> {
+    fn needs(&self, now: Millis) -> BTreeMap<WorkerName, Needs> {
         let mut needs: BTreeMap<WorkerName, Needs> = BTreeMap::new();
         for (id, entry) in &self.entries {
             let Some(attempt) = &entry.attempt else { continue };
@@ -87,7 +89,8 @@
                 }
                 let need = needs.entry(seat.worker.clone()).or_default();
                 need.active = true;
-                need.changing |= member.state != Some(TaskState::Running);
+                let young = now.since(attempt.since) < YOUNG;
+                need.changing |= young || member.state != Some(TaskState::Running);
                 if let Some(action) = entry.action(index) {
                     let member = index as u16;
                     need.commands.push(Command {
