--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -91,7 +91,7 @@
         let view = site.end_of(other, job);
         assert_eq!(
             view.outcome,
-            completed(json!(["done", "done", "done", "done"])),
+            Some(completed(json!(["done", "done", "done", "done"]))),
             "{job}"
         );
         let started = site
