Fit the load tool to kinds of calls and jobs, and show refusals

A kind is for calls or for batch jobs, and the tool sent one kind for both; refusals showed a code only; progress counted requests as sent that were waiting for their time.

--- a/standin/src/command/load.rs
+++ b/standin/src/command/load.rs
@@ -35,9 +35,12 @@
     /// Teams that make the requests.
     #[arg(long, value_delimiter = ',', default_value = "load")]
     teams: Vec<TeamName>,
-    /// Kind of the requests.
-    #[arg(long, default_value = "load")]
-    kind: KindName,
+    /// Kind of the calls.
+    #[arg(long, default_value = "query")]
+    call_kind: KindName,
+    /// Kind of the batch jobs.
+    #[arg(long, default_value = "plan")]
+    batch_kind: KindName,
     /// Pool of the batch jobs; chosen by the system if absent.
     #[arg(long)]
     pool: Option<PoolName>,
@@ -120,7 +123,8 @@
                 calls_share: if self.direct.is_some() { 1.0 } else { self.calls_share },
                 non_idempotent_share: self.non_idempotent_share,
                 teams: self.teams.clone(),
-                kind: self.kind.clone(),
+                call_kind: self.call_kind.clone(),
+                batch_kind: self.batch_kind.clone(),
                 pool: self.pool.clone(),
                 call_ms: self.call_ms,
                 parts: self.parts,
--- a/standin/src/load/direct_sender.rs
+++ b/standin/src/load/direct_sender.rs
@@ -50,9 +50,14 @@
                 ending.judge(request, &Outcome::Completed { answer })
             }
             Err(WorkerError::Lost(reason)) => ending.missing(reason),
-            Err(WorkerError::Full) => ending.named("refused: full"),
-            Err(WorkerError::Refused) => ending.named("refused: refused"),
-            Err(WorkerError::Unreached(_)) => ending.named("refused: unreached"),
+            Err(error) => {
+                let code = match &error {
+                    WorkerError::Full => "full",
+                    WorkerError::Refused => "refused",
+                    _ => "unreached",
+                };
+                ending.refused(code, error.to_string())
+            }
         }
     }
 }
--- a/standin/src/load/ending.rs
+++ b/standin/src/load/ending.rs
@@ -25,6 +25,8 @@
     pub outcome: String,
     /// Time from when it was due to when a batch job was accepted.
     pub accepted: Option<Duration>,
+    /// Sentence of a refusal, if it was refused.
+    pub refusal: Option<String>,
     /// What was wrong, if anything was.
     pub flaw: Option<(FlawSort, String)>,
 }
@@ -43,6 +45,12 @@
         self
     }
 
+    /// Was refused, with this code and sentence.
+    pub(super) fn refused(mut self, code: &str, sentence: String) -> Self {
+        self.refusal = Some(sentence);
+        self.named(&format!("refused: {code}"))
+    }
+
     /// Ended with a wrong answer.
     pub(super) fn wrong<D>(mut self, detail: D) -> Self
     where
--- a/standin/src/load/http_sender.rs
+++ b/standin/src/load/http_sender.rs
@@ -117,7 +117,10 @@
     fn send(&self, request: &Request, due: Instant) -> Ending {
         match self.submit(request) {
             // Only the first answer proves that nothing runs: a later one says nothing about a copy that was lost.
-            Said::Error(error) if error.not_run => Ending::default().named(&code_of(&error)),
+            Said::Error(error) if error.not_run => {
+                let code = code_of(&error);
+                Ending::default().refused(&code, error.message)
+            }
             said => self.follow(request, due, said),
         }
     }
@@ -125,7 +128,7 @@
 
 fn code_of(error: &ApiError) -> String {
     let code = serde_json::to_value(error.code).unwrap_or_default();
-    format!("refused: {}", code.as_str().unwrap_or("?"))
+    code.as_str().unwrap_or("?").to_owned()
 }
 
 fn exchange<B>(request: RequestBuilder<B>) -> Said
--- a/standin/src/load/mix.rs
+++ b/standin/src/load/mix.rs
@@ -47,8 +47,10 @@
     pub non_idempotent_share: f64,
     /// Teams, one of which makes each request.
     pub teams: Vec<TeamName>,
-    /// Kind of all requests.
-    pub kind: KindName,
+    /// Kind of the calls.
+    pub call_kind: KindName,
+    /// Kind of the batch jobs.
+    pub batch_kind: KindName,
     /// Pool of the batch jobs, if it is given.
     pub pool: Option<PoolName>,
     /// Work of a call, in milliseconds.
@@ -72,6 +74,11 @@
         let team = self.teams[random.random_range(0..self.teams.len())].clone();
         let members = self.members[random.random_range(0..self.members.len())];
         let id = JobId::new(format!("{}-{number}", self.run))?;
+        let (class, kind) = if is_call {
+            (Class::Call, &self.call_kind)
+        } else {
+            (Class::Batch, &self.batch_kind)
+        };
         let (sort, pieces) = match (is_call, idempotent) {
             (true, true) => (Sort::IdempotentCall, self.parts as usize),
             (true, false) => (Sort::NonIdempotentCall, self.parts as usize),
@@ -79,8 +86,8 @@
         };
         let spec = JobSpec {
             team,
-            kind: self.kind.clone(),
-            class: if is_call { Class::Call } else { Class::Batch },
+            kind: kind.clone(),
+            class,
             idempotent,
             shape: if is_call { Shape::default() } else { self.shape(members) },
             run_time_s: if is_call { 0 } else { self.batch_ms.div_ceil(1000) },
--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -96,6 +96,8 @@
     pub lateness: Times,
     /// By sort.
     pub sorts: BTreeMap<Sort, SortReport>,
+    /// First sentence of each refusal, by code.
+    pub refusals: BTreeMap<String, String>,
     /// Number of flaws.
     pub flaw_counts: BTreeMap<FlawSort, u64>,
     /// The first flaws.
@@ -106,6 +108,7 @@
     pub(super) fn fill(&mut self, tally: &Tally) {
         self.requests = tally.ended;
         self.sorts = tally.sorts.iter().map(|(sort, tally)| (*sort, tally.into())).collect();
+        self.refusals.clone_from(&tally.refusals);
         self.flaw_counts.clone_from(&tally.flaw_counts);
         self.flaws.clone_from(&tally.flaws);
     }
@@ -135,6 +138,9 @@
                 writeln!(f, "  accepted in: {}", report.accepted)?;
             }
         }
+        for (refusal, sentence) in &self.refusals {
+            writeln!(f, "{refusal}: {sentence}")?;
+        }
         for (sort, count) in &self.flaw_counts {
             writeln!(f, "{sort:?} answers: {count}")?;
         }
--- a/standin/src/load/run.rs
+++ b/standin/src/load/run.rs
@@ -50,6 +50,7 @@
 struct State {
     start: Instant,
     next: AtomicU64,
+    sent: AtomicU64,
     over: AtomicBool,
     tally: Mutex<Tally>,
     late: Mutex<Histogram<u64>>,
@@ -77,6 +78,7 @@
         let state = State {
             start: Instant::now(),
             next: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
             over: AtomicBool::new(false),
             tally: Mutex::new(Tally::new()),
             late: Mutex::new(times()),
@@ -101,6 +103,7 @@
             sorts: BTreeMap::new(),
             flaw_counts: BTreeMap::new(),
             flaws: Vec::new(),
+            refusals: BTreeMap::new(),
         };
         report.fill(&tally);
         Ok(report)
@@ -123,6 +126,7 @@
             let due = state.start + Duration::from_secs_f64(number as f64 / self.rate);
             thread::sleep(due.saturating_duration_since(Instant::now()));
             last = state.start.elapsed();
+            state.sent.fetch_add(1, Ordering::Relaxed);
             let late = due.elapsed().as_micros() as u64;
             state.late().saturating_record(late);
             let ending = sender.send(&request, due);
@@ -146,7 +150,7 @@
             tally.recent.reset();
             let now = Progress {
                 elapsed: state.start.elapsed(),
-                sent: state.next.load(Ordering::Relaxed).min(self.requests),
+                sent: state.sent.load(Ordering::Relaxed),
                 ended: tally.ended,
                 flaws: tally.flaw_counts.values().sum(),
                 recent,
--- a/standin/src/load/tally.rs
+++ b/standin/src/load/tally.rs
@@ -52,6 +52,8 @@
     pub sorts: BTreeMap<Sort, SortTally>,
     pub flaws: Vec<Flaw>,
     pub flaw_counts: BTreeMap<FlawSort, u64>,
+    /// First sentence of each refusal.
+    pub refusals: BTreeMap<String, String>,
     pub ended: u64,
     /// Times of the requests that completed since they were last taken.
     pub recent: Histogram<u64>,
@@ -63,6 +65,7 @@
             sorts: BTreeMap::new(),
             flaws: Vec::new(),
             flaw_counts: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             ended: 0,
             recent: times(),
         }
@@ -79,6 +82,9 @@
         if let Some(accepted) = ending.accepted {
             tally.accepted.saturating_record(micros(accepted));
         }
+        if let Some(sentence) = ending.refusal {
+            self.refusals.entry(ending.outcome.clone()).or_insert(sentence);
+        }
         *tally.outcomes.entry(ending.outcome).or_default() += 1;
         let Some((sort, detail)) = ending.flaw else { return };
         *self.flaw_counts.entry(sort).or_default() += 1;
--- a/standin/tests/load.rs
+++ b/standin/tests/load.rs
@@ -114,7 +114,8 @@
             calls_share,
             non_idempotent_share: 0.5,
             teams: vec![TeamName::new("t").unwrap()],
-            kind: KindName::new("k").unwrap(),
+            call_kind: KindName::new("query").unwrap(),
+            batch_kind: KindName::new("plan").unwrap(),
             pool: None,
             call_ms: 0,
             parts: 3,
@@ -176,6 +177,7 @@
     let report = run(Habit::Busy, 0.5, LONG);
     assert!(report.is_clean(), "{report}");
     assert_eq!(outcomes(&report), all("refused: busy"));
+    assert_eq!(report.refusals["refused: busy"], "no");
 }
 
 #[test]
