--- a/standin/src/load/direct_sender.rs
+++ b/standin/src/load/direct_sender.rs
@@ -34,11 +34,11 @@
     fn send(&self, request: &Request, _: Instant) -> Ending {
         let ending = Ending::default();
         let call = CallRequest {
+            boot: None,
             job: request.id.clone(),
             attempt: 1,
             team: request.spec.team.clone(),
             kind: request.spec.kind.clone(),
-            boot: None,
             deadline_ms: self.patience.0,
             trace: None,
             payload: request.spec.payload.clone(),
