End calls whose outcome cannot be written, and test late requests

Cause: a call whose Close got no answer again and again went round without a pause and did not end at its deadline; found by the fault matrix with delayed requests. Change: close pauses and gives up at the deadline; tests for delayed and repeated requests, a lost race whose answer is lost, an unreachable fleet, a leaving worker that the router does not know of, a look for abandoned calls during a call, and not-run before it is written.

--- a/src/call/once.rs
+++ b/src/call/once.rs
@@ -282,10 +282,11 @@
     pub(super) fn close(&self, now: Millis, call: &mut Call, stored: StoredJob, outcome: Outcome) -> Progress {
         match self.write_outcome(&stored, outcome.clone()) {
             Ok(()) => call.done(stored.row.attempt, workers_of(&stored.row), outcome),
-            Err(Unwritten::Table(TableError::Conflict { .. } | TableError::Unknown(_) | TableError::Format(_))) => {
-                Progress::Again
-            }
+            // Someone else wrote the row: it tells how to go on.
+            Err(Unwritten::Table(TableError::Conflict { .. })) => Progress::Again,
             Err(_) if call.is_late(now) => call.give_up("The call's outcome cannot be written"),
+            // It may be written: the row is read after a pause.
+            Err(Unwritten::Table(TableError::Unknown(_) | TableError::Format(_))) => Progress::Wait(POLL),
             Err(_) => {
                 call.stage = Stage::Close { stored, outcome };
                 Progress::Wait(POLL)
--- a/src/session/state.rs
+++ b/src/session/state.rs
@@ -189,12 +189,8 @@
                     self.state().version = None;
                     last = error.into();
                 }
-                Err(error) => {
-                    if !error.is_unwritten() {
-                        self.state().version = None;
-                    }
-                    return Err(error.into());
-                }
+                // If it was written after all, the next renewal finds another version and reads the row.
+                Err(error) => return Err(error.into()),
             }
         }
         Err(last)
--- a/tests/control/accept.rs
+++ b/tests/control/accept.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use serde_json::{Value, json};
-use standin::fake::Side;
+use standin::fake::{Fault, Side};
 use yuccaridge::accept::{AcceptError, choose_pool};
 use yuccaridge::api::{ApiError, Code, JobState, JobView};
 use yuccaridge::job::{JobRow, JobSpec, Outcome, Phase, Seat};
@@ -63,22 +63,47 @@
     assert!(world.row("queue/west/j").is_some());
 }
 
-/// Guards against two jobs for one id when two instances take it at once.
+/// Guards against two jobs for one id when two instances take it at once, also if the loser's answer is lost and it
+/// finds the winner's row when it reads back.
 #[test]
 fn two_instances_that_race_accept_one_job() {
-    for (other_body, expected) in [(json!({}), None), (json!({"payload": 1}), Some(Code::JobConflict))] {
+    let other_bodies = [(json!({}), None), (json!({"payload": 1}), Some(Code::JobConflict))];
+    for ((other_body, expected), lost) in other_bodies.iter().flat_map(|case| [(case, false), (case, true)]) {
         let (_world, [a, b]) = World::ready(["a", "b"]);
-        let other = batch(&other_body);
-        a.meanwhile(Step::Accept, Side::Before, move || {
-            submit(&b, "j", &other).unwrap();
+        let other = batch(other_body);
+        a.link.set_hook(move |point| {
+            if point.step == Step::Accept && point.side == Side::Before {
+                submit(&b, "j", &other).unwrap();
+            }
+            let cut = lost && point.step == Step::Accept && point.side == Side::After;
+            if cut { Fault::Cut } else { Fault::None }
         });
 
         let result = submit(&a, "j", &batch(&json!({})));
 
-        assert_eq!(result.err().map(code), expected);
+        assert_eq!(result.err().map(code), *expected);
     }
 }
 
+/// Guards against two rows or a wrong answer when a transaction arrives after its sender gave up or tried again.
+#[test]
+fn a_late_accept_changes_nothing_that_was_told() {
+    let (world, [a]) = World::ready(["a"]);
+    a.inject(&[(Step::Accept, Side::Before, Fault::Delay)]);
+    let told = submit(&a, "j", &batch(&json!({}))).unwrap();
+    let version = world.row("job/j").unwrap().version;
+    a.link.deliver();
+    a.inject(&[(Step::Accept, Side::Before, Fault::Delay); 4]);
+    let doubt = submit(&a, "k", &batch(&json!({}))).unwrap_err();
+    let before = world.row("job/k").is_some();
+    a.link.deliver();
+
+    assert_eq!(told.state, JobState::Queued);
+    assert_eq!(world.row("job/j").unwrap().version, version);
+    assert_eq!(doubt, AcceptError::Unknown(job_id("k")));
+    assert!(!before && world.row("job/k").is_some());
+}
+
 /// Guards against "accepted" without a row, and "not run" with one, when answers are lost or the table is down.
 #[test]
 fn an_accept_is_told_as_it_is_in_the_table() {
@@ -92,7 +117,7 @@
     }
     let (world, [a, b]) = World::ready(["a", "b"]);
 
-    a.cut_from(Step::Accept, Side::After);
+    a.cut_from(Step::Accept, Side::After, u64::MAX);
     let lost = submit(&a, "j", &body).unwrap_err();
     a.cut();
     let down = ApiError::from(submit(&a, "k", &body).unwrap_err());
--- a/tests/control/call.rs
+++ b/tests/control/call.rs
@@ -6,6 +6,7 @@
 use yuccaridge::call::CallError;
 use yuccaridge::job::Outcome;
 use yuccaridge::platform::{Presence, Step};
+use yuccaridge::time::Millis;
 
 use crate::world::{World, job};
 
@@ -98,7 +99,9 @@
 fn a_leaving_worker_gets_no_calls() {
     let (world, [a]) = World::ready(["a"]);
     world.worker("w1", |worker, _| worker.listed_mut().presence = Presence::Leaving);
-    world.run(&[&a], 1500);
+    world.platform.clock.advance(Millis(1000));
+    // The router is not told, so the call itself must look.
+    a.member.step(world.now()).unwrap();
 
     for n in 0..20 {
         a.call(&format!("j{n}"), &query(n % 2 == 0, &json!({}))).unwrap();
@@ -179,3 +182,40 @@
     assert_eq!(answer(&a.finish(&mut second, &[&a]).unwrap()), &json!(1));
     assert_eq!(world.starts("j"), 1);
 }
+
+/// Guards against a look for abandoned calls that ends one which is just being sent.
+#[test]
+fn a_call_in_flight_is_not_taken_for_abandoned() {
+    let (world, [a]) = World::ready(["a"]);
+    let node = std::sync::Arc::clone(&a);
+    a.meanwhile(Step::Send, Side::Before, move || node.step());
+
+    let view = a.call("j", &query(false, &json!({"answer": 1}))).unwrap();
+
+    assert_eq!((answer(&view), view.attempt), (&json!(1), 1));
+    assert_eq!(world.row("job/j").unwrap().value["attempt"], 1);
+}
+
+/// Guards against doubt about a call that no worker could be reached for.
+#[test]
+fn a_call_that_no_worker_took_was_not_run() {
+    let (world, [a]) = World::ready(["a"]);
+    a.call("warm", &query(false, &json!({}))).unwrap();
+    a.link.set_hook(|point| match point.worker {
+        Some(_) => Fault::Cut,
+        None => Fault::None,
+    });
+    let mut written = 0;
+    for n in 0..20 {
+        world.run(&[&a], 15_000);
+        match a.call(&format!("j{n}"), &query(false, &json!({}))) {
+            Ok(view) => {
+                assert!(matches!(view.outcome, Some(Outcome::NotRun { .. })), "{view:?}");
+                written += 1;
+            }
+            Err(error) => assert_eq!(error, CallError::Busy),
+        }
+    }
+
+    assert!(written > 0);
+}
--- a/tests/control/doubt.rs
+++ b/tests/control/doubt.rs
@@ -10,11 +10,11 @@
 use yuccaridge::call::CallError;
 use yuccaridge::job::Outcome;
 use yuccaridge::name::WorkerName;
-use yuccaridge::platform::Step;
+use yuccaridge::platform::{Step, Table};
 use yuccaridge::time::Millis;
 
 use crate::call::{answer, query};
-use crate::world::{Node, World};
+use crate::world::{Node, World, cut_some};
 
 fn body() -> Value {
     query(false, &json!({"answer": 1}))
@@ -41,6 +41,7 @@
 /// Lets the table settle and checks that the row says the same as the caller was told.
 fn check_row(world: &World, node: &Node, told: &Result<JobView, CallError>, context: &str) {
     node.mend();
+    node.link.deliver();
     world.run(&[node], 6000);
     let Some(row) = world.row("job/j") else {
         assert!(told.is_err(), "{context}: told {told:?} without a row");
@@ -71,15 +72,26 @@
     Step::Object,
 ];
 
-/// Guards against a second run and a wrong answer when requests of any step are lost, before or after their effect.
+const FAULTS: [(Side, Fault); 4] = [
+    (Side::Before, Fault::Cut),
+    (Side::Before, Fault::Delay),
+    (Side::Before, Fault::Repeat),
+    (Side::After, Fault::Cut),
+];
+
+/// Guards against a second run and a wrong answer when requests of any step are lost again and again.
 #[test]
-fn any_lost_request_leaves_a_true_answer() {
+fn lost_requests_of_one_step_leave_a_true_answer() {
     for step in STEPS {
-        for side in [Side::Before, Side::After] {
+        for (side, fault) in FAULTS {
             for times in [1, 2, 3, 1000] {
                 let (world, [a]) = World::ready(["a"]);
-                a.cut_at(step, side, times);
-                let context = format!("{step:?} {side:?} {times}");
+                let left = AtomicU64::new(times);
+                a.link.set_hook(move |point| match cut_some(point, step, side, &left) {
+                    Fault::None => Fault::None,
+                    _ => fault,
+                });
+                let context = format!("{step:?} {side:?} {fault:?} {times}");
 
                 let told = a.call("j", &body());
 
@@ -90,24 +102,41 @@
     }
 }
 
-/// Guards against a second run and a wrong answer when two steps lose requests at once.
+/// Guards against a second run and a wrong answer when requests of any two steps are lost.
 #[test]
 fn two_lost_requests_leave_a_true_answer() {
     for (first, second) in STEPS.iter().flat_map(|step| STEPS.map(|other| (*step, other))) {
-        for sides in 0..4 {
-            let side = |bit: u8| if sides & bit == 0 { Side::Before } else { Side::After };
-            let left = [AtomicU64::new(1), AtomicU64::new(1)];
-            let points = [(first, side(1)), (second, side(2))];
+        for (one, other) in FAULTS.iter().flat_map(|fault| FAULTS.map(|other| (*fault, other))) {
             let (world, [a]) = World::ready(["a"]);
+            a.inject(&[(first, one.0, one.1), (second, other.0, other.1)]);
+            let context = format!("{first:?} {one:?}, {second:?} {other:?}");
+
+            let told = a.call("j", &body());
+
+            check_truth(&world, &told, &context);
+            check_row(&world, &a, &told, &context);
+        }
+    }
+}
+
+/// Guards against a second run and a wrong answer when a request of any step arrives during a later one.
+#[test]
+fn a_late_request_leaves_a_true_answer() {
+    for (delayed, later) in STEPS.iter().flat_map(|step| STEPS.map(|other| (*step, other))) {
+        for side in [Side::Before, Side::After] {
+            let (world, [a]) = World::ready(["a"]);
+            let link = Arc::clone(&a.link);
+            let left = AtomicU64::new(1);
             a.link.set_hook(move |point| {
-                for (wanted, left) in points.iter().zip(&left) {
-                    if (point.step, point.side) == *wanted && left.swap(0, Ordering::Relaxed) == 1 {
-                        return Fault::Cut;
-                    }
+                if cut_some(point, delayed, Side::Before, &left) != Fault::None {
+                    return Fault::Delay;
+                }
+                if (point.step, point.side) == (later, side) {
+                    link.deliver();
                 }
                 Fault::None
             });
-            let context = format!("{first:?} {second:?} {sides}");
+            let context = format!("{delayed:?} arrives {side:?} {later:?}");
 
             let told = a.call("j", &body());
 
@@ -117,6 +146,21 @@
     }
 }
 
+/// Guards against "not run" that is told before it is written: another instance may start the call meanwhile.
+#[test]
+fn not_run_is_told_only_once_it_is_written() {
+    let (world, [a]) = World::ready(["a"]);
+    a.link.set_hook(|point| match (point.step, point.side) {
+        (Step::Send | Step::Close, Side::Before) => Fault::Cut,
+        _ => Fault::None,
+    });
+
+    let told = a.call("j", &body()).unwrap();
+
+    assert!(matches!(told.outcome, Some(Outcome::Unknown { .. })));
+    assert_eq!(world.starts("j"), 0);
+}
+
 /// Guards against a call that stays open, runs twice or is told wrongly when its instance dies after any request and
 /// the caller asks another instance.
 #[test]
@@ -181,6 +225,8 @@
         let other = Arc::clone(&known);
         a.meanwhile(Step::Send, Side::Before, move || {
             *other.lock().unwrap() = Some(take_over(&b, repeat));
+            let marks = platform.table.scan("open/", None, 9).unwrap();
+            assert_eq!(marks.rows, []);
             for name in ["w1", "w2"] {
                 if restart {
                     let name = WorkerName::new(name).unwrap();
--- a/tests/control/session.rs
+++ b/tests/control/session.rs
@@ -66,7 +66,7 @@
 fn a_renewal_that_cannot_be_read_back_gives_no_lease() {
     let world = World::new();
     let node = world.node("a", "1");
-    node.cut_from(Step::Renew, Side::After);
+    node.cut_from(Step::Renew, Side::After, u64::MAX);
 
     assert!(node.session.step(world.now()).is_err());
 
--- a/tests/control/ticket.rs
+++ b/tests/control/ticket.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde_json::{Value, json};
-use standin::fake::Side;
+use standin::fake::{Fault, Side};
 use yuccaridge::api::{ApiError, Code};
 use yuccaridge::platform::Step;
 use yuccaridge::row::TicketState;
@@ -117,13 +117,33 @@
     }
 }
 
+/// Guards against doubt that one more request would have resolved, and against a late transaction that changes a newer
+/// configuration.
+#[test]
+fn a_write_in_doubt_is_tried_again_and_cannot_come_back() {
+    let world = World::new();
+    let node = world.node("a", "1");
+    world.run(&[&node], 1000);
+    node.cut_from(Step::Pending, Side::After, 2);
+    let resolved = node.tickets.put(world.now(), 5, &kind_ticket("x")).unwrap();
+    node.inject(&[(Step::Pending, Side::Before, Fault::Delay)]);
+    let again = node.tickets.put(world.now(), 6, &kind_ticket("y")).unwrap();
+    node.tickets.put(world.now(), 7, &kind_ticket("z")).unwrap();
+
+    node.link.deliver();
+
+    assert_eq!((resolved.repeated, again.repeated), (false, false));
+    assert_eq!(world.row("ticket/head").unwrap().value["number"], 7);
+    assert_eq!(world.row("config/kind/sort").unwrap().value["number"], 7);
+}
+
 /// Guards against "nothing was changed" while the transaction may have taken effect.
 #[test]
 fn a_write_in_doubt_is_unknown_not_refused() {
     let world = World::new();
     let node = world.node("a", "1");
     world.run(&[&node], 1000);
-    node.cut_from(Step::Pending, Side::After);
+    node.cut_from(Step::Pending, Side::After, u64::MAX);
 
     let error = node.tickets.put(world.now(), 5, &kind_ticket("x")).unwrap_err();
 
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -54,6 +54,7 @@
     /// An instance that was not stepped yet.
     pub fn node(&self, name: &str, boot: &str) -> Node {
         let link = Link::new(&self.platform);
+        let seed = name.bytes().map(u64::from).sum();
         let name = instance(name);
         let ops = Arc::new(OpIds::new(&name, boot));
         let peer = "127.0.0.1:7000".parse().unwrap();
@@ -85,7 +86,7 @@
         let calls = Calls::new(
             Arc::clone(&session),
             Arc::clone(&member),
-            Arc::new(Mutex::new(Router::new(7))),
+            Arc::new(Mutex::new(Router::new(seed))),
             Arc::clone(&table),
             Arc::clone(&link) as _,
             Arc::clone(&link) as _,
@@ -227,13 +228,27 @@
         self.link.set_hook(move |point| cut_some(point, step, side, &left));
     }
 
-    /// Cuts the first request of one step on one side, and every request after it, until [`Node::mend`].
-    pub fn cut_from(&self, step: Step, side: Side) {
-        let cut = AtomicBool::new(false);
+    /// From the first request of one step on one side, cuts what is asked next, `times` in all, until [`Node::mend`].
+    pub fn cut_from(&self, step: Step, side: Side, times: u64) {
+        let begun = AtomicBool::new(false);
+        let left = AtomicU64::new(times);
         self.link.set_hook(move |point| {
             let here = point.step == step && point.side == side;
-            if cut.fetch_or(here, Ordering::Relaxed) || here {
-                return Fault::Cut;
+            if !begun.fetch_or(here, Ordering::Relaxed) && !here {
+                return Fault::None;
+            }
+            cut_some(point, point.step, point.side, &left)
+        });
+    }
+
+    /// Injects each of these faults once.
+    pub fn inject(&self, faults: &[(Step, Side, Fault)]) {
+        let faults: Vec<_> = faults.iter().map(|fault| (*fault, AtomicBool::new(false))).collect();
+        self.link.set_hook(move |point| {
+            for ((step, side, fault), done) in &faults {
+                if (point.step, point.side) == (*step, *side) && !done.swap(true, Ordering::Relaxed) {
+                    return *fault;
+                }
             }
             Fault::None
         });
@@ -266,7 +281,8 @@
     }
 }
 
-fn cut_some(point: &Point, step: Step, side: Side, left: &AtomicU64) -> Fault {
+/// Cuts the first requests of one step on one side.
+pub fn cut_some(point: &Point, step: Step, side: Side, left: &AtomicU64) -> Fault {
     if point.step != step || point.side != side {
         return Fault::None;
     }
