--- a/standin/src/load/direct_sender.rs
+++ b/standin/src/load/direct_sender.rs
@@ -39,7 +39,6 @@
             attempt: 1,
             team: request.spec.team.clone(),
             kind: request.spec.kind.clone(),
-            boot: None,
             deadline_ms: self.patience.0,
             trace: None,
             payload: request.spec.payload.clone(),
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -70,8 +70,14 @@
         text.contains("yuccaridge_requests_total{route=\"submit\",status=\"200\"} 1"),
         "{text}"
     );
-    assert!(text.contains("yuccaridge_call_duration_seconds_count 0"), "a batch job counts as a call: {text}");
-    assert_eq!(send(&server, "PUT", "/v1/jobs/completed", job_body()).2["state"], "ended");
+    assert!(
+        text.contains("yuccaridge_call_duration_seconds_count 0"),
+        "a batch job counts as a call: {text}"
+    );
+    assert_eq!(
+        send(&server, "PUT", "/v1/jobs/completed", job_body()).2["state"],
+        "ended"
+    );
     let text = raw(&server, request("GET", "/metrics", "").as_bytes());
     assert!(text.contains("yuccaridge_call_duration_seconds_count 1"), "{text}");
 }
