Count steps and make a span for each hop to a worker

Cause: metrics of steps were registered and never counted, and traces ended at the server. Change: Observed wraps table and workers; a call's span is the parent of what the worker sees; prepared members carry the trace of the request that submitted the job; gauges of sessions, ticket and waiting jobs are set. Ruled out: spans for table requests, which belong to many jobs at once. Conclusion: /metrics and traces cover each hop.

--- a/src/instance/daemon.rs
+++ b/src/instance/daemon.rs
@@ -7,13 +7,13 @@
 
 use thiserror::Error;
 
-use super::{Answered, Core, Dispatch, Gateway, Parts};
+use super::{Answered, Core, Dispatch, Gateway, Observed, Parts};
 use crate::api::{Handler, Server, ServerError};
 use crate::config::Config;
 use crate::metric::Metrics;
 use crate::peer::{Hello, Mesh, PeerError, To};
 use crate::platform::http::{HttpListing, HttpObjects, HttpTable, HttpWorkers, Timeouts};
-use crate::platform::{Limited, Table, TableBudget};
+use crate::platform::{Limited, TableBudget};
 use crate::time::{Clock, Millis, SystemClock};
 use crate::trace::Tracer;
 
@@ -79,6 +79,9 @@
         let table = Arc::new(Limited::new(table, Arc::clone(&clock), budget, 1));
         let objects = HttpObjects::new(config.platform.objects, timeouts(config, times.objects_ms));
         let listing = HttpListing::new(config.platform.list, timeouts(config, times.list_ms));
+        let metrics = Arc::new(Metrics::new());
+        let tracer = Tracer::new(config.trace);
+        let workers = HttpWorkers::new(timeouts(config, times.worker_ms));
         let boot = boot();
         let hello = Hello {
             instance: config.instance.clone(),
@@ -91,20 +94,14 @@
             domain: config.domain.clone(),
             weights: config.weights,
             seed: rand::random(),
-            table: Arc::clone(&table) as Arc<dyn Table>,
+            table: Arc::new(Observed::new(Arc::clone(&table), Arc::clone(&metrics), tracer.clone())),
             objects: Arc::new(objects),
             listing: Arc::new(listing),
-            workers: Arc::new(HttpWorkers::new(timeouts(config, times.worker_ms))),
+            workers: Arc::new(Observed::new(workers, Arc::clone(&metrics), tracer.clone())),
         }));
         let gateway = Arc::new(Gateway::new(Arc::clone(&core), Arc::clone(&clock)));
         let handler: Arc<dyn Handler> = Arc::clone(&gateway) as Arc<dyn Handler>;
-        let server = Server::start(
-            config.listen,
-            config.limits,
-            handler,
-            Arc::new(Metrics::new()),
-            Tracer::new(config.trace),
-        )?;
+        let server = Server::start(config.listen, config.limits, handler, Arc::clone(&metrics), tracer)?;
         let stop = Arc::new(AtomicBool::new(false));
         let mut daemon = Self {
             core,
@@ -118,7 +115,13 @@
         daemon.spawn("session", Core::heartbeat)?;
         daemon.spawn("member", move |core, now| {
             core.watch(now);
-            table.set_instances(core.member.live(now).len());
+            let live = core.member.live(now).len();
+            table.set_instances(live);
+            metrics.set_sessions(live);
+            metrics.set_ticket(core.session.cached().number);
+            for (pool, jobs) in core.pools.waiting() {
+                metrics.set_waiting(&pool, jobs);
+            }
         })?;
         daemon.spawn("ticket", Core::finish)?;
         daemon.spawn_planner()?;
--- /dev/null
+++ b/src/instance/observed.rs
@@ -0,0 +1,126 @@
+//! The platform and the workers, with metrics and a span for each hop.
+
+use std::sync::Arc;
+
+use crate::metric::{Metrics, Result as Ending};
+use crate::name::JobId;
+use crate::platform::{
+    Action, Address, Batch, CallPart, CallRequest, Key, Page, Refusal, Reply, Report, Row, Step, Table, TableError,
+    Txn, Version, WorkerError, Workers,
+};
+use crate::time::Millis;
+use crate::trace::{Hop, Tracer};
+
+/// Passes requests on, counts them by step, and makes a span for each that belongs to a job's trace.
+#[derive(Debug)]
+pub struct Observed<T> {
+    inner: T,
+    metrics: Arc<Metrics>,
+    tracer: Tracer,
+}
+
+impl<T> Observed<T> {
+    /// Watches these requests.
+    pub fn new(inner: T, metrics: Arc<Metrics>, tracer: Tracer) -> Self {
+        Self { inner, metrics, tracer }
+    }
+
+    fn count_worker<R>(&self, step: Step, result: &Result<R, WorkerError>) {
+        let ending = match result {
+            Ok(_) => Ending::ok,
+            Err(error) if error.is_unstarted() => Ending::failed,
+            Err(_) => Ending::unknown,
+        };
+        self.metrics.step(step, ending);
+    }
+
+    fn count_table<R>(&self, step: Step, result: &Result<R, TableError>) {
+        let ending = match result {
+            Ok(_) => Ending::ok,
+            Err(TableError::Conflict { .. }) => Ending::conflict,
+            Err(error) if error.is_unwritten() => Ending::failed,
+            Err(_) => Ending::unknown,
+        };
+        self.metrics.step(step, ending);
+    }
+
+    /// Spans of the members that a batch prepares; each ends when the batch is answered.
+    fn prepare_hops(&self, batch: &Batch) -> Vec<Hop> {
+        let mut hops = Vec::new();
+        for command in &batch.commands {
+            let Action::Prepare { trace: Some(trace), .. } = &command.action else {
+                continue;
+            };
+            let hop = self.tracer.hop("worker_prepare", Some(trace));
+            hop.set("job", command.job.as_str());
+            hop.set("member", &command.member);
+            hops.push(hop);
+        }
+        hops
+    }
+}
+
+impl<T> Table for Observed<T>
+where
+    T: Table,
+{
+    fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, TableError> {
+        let result = self.inner.read(keys);
+        self.count_table(Step::Read, &result);
+        result
+    }
+
+    fn scan(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page, TableError> {
+        let result = self.inner.scan(prefix, after, limit);
+        self.count_table(Step::Read, &result);
+        result
+    }
+
+    fn commit(&self, txn: &Txn) -> Result<Version, TableError> {
+        let result = self.inner.commit(txn);
+        self.count_table(txn.step, &result);
+        result
+    }
+}
+
+impl<T> Workers for Observed<T>
+where
+    T: Workers,
+{
+    fn command(&self, address: Address, batch: &Batch) -> Result<Vec<Reply>, WorkerError> {
+        let hops = self.prepare_hops(batch);
+        let result = self.inner.command(address, batch);
+        drop(hops);
+        let step = batch
+            .commands
+            .first()
+            .map_or(Step::RenewTasks, |command| command.action.step());
+        self.count_worker(step, &result);
+        result
+    }
+
+    fn report(&self, address: Address) -> Result<Report, WorkerError> {
+        let result = self.inner.report(address);
+        self.count_worker(Step::Report, &result);
+        result
+    }
+
+    fn call(&self, address: Address, call: &CallRequest, timeout: Millis) -> Result<Vec<CallPart>, WorkerError> {
+        let hop = self.tracer.hop("worker_call", call.trace.as_deref());
+        hop.set("job", call.job.as_str());
+        hop.set("attempt", &call.attempt);
+        let passed = CallRequest {
+            trace: Some(hop.traceparent()),
+            ..call.clone()
+        };
+        let result = self.inner.call(address, &passed, timeout);
+        self.count_worker(Step::Send, &result);
+        result
+    }
+
+    fn refuse(&self, address: Address, job: &JobId, attempt: u32) -> Result<Refusal, WorkerError> {
+        let result = self.inner.refuse(address, job, attempt);
+        self.count_worker(Step::Refuse, &result);
+        result
+    }
+}
--- a/src/planner/entry.rs
+++ b/src/planner/entry.rs
@@ -105,6 +105,7 @@
             members: spec.shape.members,
             payload: spec.payload.clone(),
             checkpoint: self.row.checkpoint.as_ref().map(|object| format!("{object}/{member}")),
+            trace: self.row.trace.clone(),
         }
     }
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -33,6 +33,9 @@
         /// Object to resume from.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         checkpoint: Option<String>,
+        /// W3C `traceparent` of the request that submitted the job.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        trace: Option<String>,
     },
     /// Start what was prepared.
     Release,
