--- a/standin/tests/fake.rs
+++ b/standin/tests/fake.rs
@@ -91,6 +91,7 @@
         action,
     };
     let prepare = Action::Prepare {
+        trace: None,
         kind: KindName::new("k").unwrap(),
         cores: 1,
         memory_mb: 1,
--- a/tests/http/parts.rs
+++ b/tests/http/parts.rs
@@ -213,6 +213,7 @@
         action,
     };
     let prepare = Action::Prepare {
+        trace: None,
         kind: KindName::new("k").unwrap(),
         cores: 1,
         memory_mb: 1,
