Test what the table adapter reports in any order of events

Cause: the tests of lost answers covered the orders that came to mind.

Change: 400 seeded cases of a transaction, what others write before, between and after its copies, and whether the first copy is applied, lost, overtaken by the repeat, or late. "Applied" and "not written" must stay true, and nothing may be applied twice.

--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -7,3 +7,4 @@
 mod parts;
 mod raw;
 mod reads;
+mod truth;
--- /dev/null
+++ b/tests/http/truth.rs
@@ -0,0 +1,195 @@
+//! Whatever becomes of a transaction and its rows while its answer is lost, what the adapter reports is true.
+
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use standin::table::MemoryTable;
+use yuccaridge::platform::http::HttpTable;
+use yuccaridge::platform::http::wire::{CommitReply, ReadBody, ReadReply};
+use yuccaridge::platform::{Check, Key, OpId, Put, Step, Table, TableError, Txn, Version};
+
+use crate::fixture::timeouts;
+use crate::raw::{RawServer, Received, reply};
+
+const SEED: u64 = 0x7a81e;
+const CASES: u64 = 400;
+const KEYS: [&str; 3] = ["a", "b", "c"];
+
+/// What becomes of the first copy of the transaction.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fate {
+    Applied,
+    Lost,
+    /// Arrives just before the second copy.
+    Overtaken,
+    /// Arrives after the adapter has reported.
+    Late,
+}
+
+#[derive(Debug)]
+struct Case {
+    table: MemoryTable,
+    fate: Fate,
+    /// What others write before and after the first copy.
+    before: Vec<Txn>,
+    after: Vec<Txn>,
+    /// What they write just before the second copy.
+    meanwhile: Vec<Txn>,
+    /// Versions that the transaction was applied with.
+    applied: Vec<Version>,
+    copies: usize,
+}
+
+impl Case {
+    fn apply(&mut self, txn: &Txn) -> Result<Version, TableError> {
+        let result = self.table.commit(txn);
+        self.applied.extend(&result);
+        result
+    }
+
+    /// Handles the first copy; its answer is lost.
+    fn first(&mut self, txn: &Txn) {
+        for other in &self.before {
+            self.table.commit(other).unwrap();
+        }
+        if self.fate == Fate::Applied {
+            drop(self.apply(txn));
+        }
+        for other in &self.after {
+            self.table.commit(other).unwrap();
+        }
+    }
+}
+
+fn answer(case: &Mutex<Option<Case>>, received: &Received, stream: &mut TcpStream) {
+    let mut case = case.lock().unwrap();
+    let case = case.as_mut().unwrap();
+    if received.path == "/v1/table/read" {
+        let body: ReadBody = serde_json::from_slice(&received.body).unwrap();
+        let rows = case.table.read(&body.keys).unwrap();
+        return reply(stream, 200, &serde_json::to_vec(&ReadReply { rows }).unwrap());
+    }
+    let txn: Txn = serde_json::from_slice(&received.body).unwrap();
+    case.copies += 1;
+    if case.copies == 1 {
+        return case.first(&txn);
+    }
+    if case.fate == Fate::Overtaken {
+        drop(case.apply(&txn));
+    }
+    for other in &case.meanwhile {
+        case.table.commit(other).unwrap();
+    }
+    match case.apply(&txn) {
+        Ok(version) => reply(stream, 200, &serde_json::to_vec(&CommitReply { version }).unwrap()),
+        Err(TableError::Conflict { key, expected, found }) => {
+            let body =
+                json!({ "code": "conflict", "key": key, "expected": expected, "found": found, "message": "changed" });
+            reply(stream, 409, &serde_json::to_vec(&body).unwrap());
+        }
+        Err(error) => panic!("{error}"),
+    }
+}
+
+fn put(key: &str, value: bool) -> Put {
+    Put {
+        key: key.to_owned(),
+        value: value.then(|| json!(1)),
+    }
+}
+
+fn other(random: &mut SmallRng, existing: &[Key]) -> Txn {
+    let key = KEYS[random.random_range(0..KEYS.len())];
+    // Others remove only rows that were there before: the documented gap is a row that is created and removed again.
+    let removes = existing.iter().any(|name| name == key) && random.random_bool(0.4);
+    Txn {
+        step: Step::Accept,
+        op: OpId("other".to_owned()),
+        checks: Vec::new(),
+        puts: vec![put(key, !removes)],
+    }
+}
+
+/// A table with some rows, a transaction whose checks hold on it, and what is to happen.
+fn draw(random: &mut SmallRng) -> (Case, Txn) {
+    let table = MemoryTable::default();
+    let mut existing = Vec::new();
+    let mut txn = Txn {
+        step: Step::Accept,
+        op: OpId("ours".to_owned()),
+        checks: Vec::new(),
+        puts: Vec::new(),
+    };
+    for key in KEYS {
+        let mut version = 0;
+        if random.random_bool(0.6) {
+            let mut setup = other(random, &[]);
+            setup.puts = vec![put(key, true)];
+            version = table.commit(&setup).unwrap();
+            existing.push(key.to_owned());
+        }
+        if random.random_bool(0.7) {
+            let key = key.to_owned();
+            txn.checks.push(Check { key, version });
+        }
+        if random.random_bool(0.5) {
+            txn.puts.push(put(key, random.random_bool(0.7)));
+        }
+    }
+    let fates = [Fate::Applied, Fate::Lost, Fate::Overtaken, Fate::Late];
+    let fate = fates[random.random_range(0..fates.len())];
+    let mut others = || {
+        let count = random.random_range(0..3);
+        (0..count).map(|_| other(random, &existing)).collect()
+    };
+    let case = Case {
+        table,
+        fate,
+        before: others(),
+        after: others(),
+        meanwhile: others(),
+        applied: Vec::new(),
+        copies: 0,
+    };
+    (case, txn)
+}
+
+/// Guards against any order of events in which "applied" or "not written" is reported and does not stay true, or in
+/// which a transaction is applied twice.
+#[test]
+fn reports_are_true_in_any_order_of_events() {
+    let current = Arc::new(Mutex::new(None));
+    let shared = Arc::clone(&current);
+    let server = RawServer::start(move |_, received, stream| answer(&shared, &received, stream));
+    let table = HttpTable::new(server.address, timeouts());
+    let mut counts = [0; 3];
+    for number in 0..CASES {
+        let (case, txn) = draw(&mut SmallRng::seed_from_u64(SEED + number));
+        *current.lock().unwrap() = Some(case);
+
+        let result = table.commit(&txn);
+
+        let mut case = current.lock().unwrap().take().unwrap();
+        let reported = case.applied.clone();
+        if case.fate == Fate::Late || (case.fate == Fate::Overtaken && case.copies == 1) {
+            drop(case.apply(&txn));
+        }
+        let about = format!("case {number}: {result:?} for {txn:?} in {case:?}");
+        match &result {
+            Ok(version) => {
+                assert_eq!(reported, [*version], "{about}");
+                counts[0] += 1;
+            }
+            Err(error) if error.is_unwritten() => {
+                assert!(case.applied.is_empty(), "{about}");
+                counts[1] += 1;
+            }
+            Err(_) => counts[2] += 1,
+        }
+        assert!(case.applied.len() <= 1, "{about}");
+    }
+    assert!(counts.iter().all(|count| *count >= 20), "cases by result: {counts:?}");
+}
