Stop a stand-in server that is kept busy

Cause: rouille's loop ends only after a time without requests, so a worker in a demo under steady load could not be stopped at all.

Change: a stopped server breaks every connection at once, looks for a pause of 20 ms instead of 50 ms, and is left behind after 1 s.

Ruled out: Server::stoppable, which waits for a whole second without requests.

Conclusion: a left-behind listener keeps its port until its load ends.

--- a/standin/src/server/host.rs
+++ b/standin/src/server/host.rs
@@ -5,14 +5,21 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rouille::{Request, Response};
 
-/// Longest time until a server without requests notices that it is to stop.
-const STOP_POLL: Duration = Duration::from_millis(50);
+use super::reply::broken;
 
-/// An HTTP server in a thread, stopped when dropped.
+/// Time without a request after which a server looks whether it is to stop. rouille's loop cannot be left sooner, and
+/// a longer time would keep a busy server from ever stopping.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for the listener to close. A server that stays busy is left behind; it carries nothing out any more.
+const STOP_WAIT: Duration = Duration::from_secs(1);
+/// Pause between two looks whether the listener has closed.
+const STOP_PAUSE: Duration = Duration::from_millis(2);
+
+/// An HTTP server in a thread, stopped when dropped. From then on no request is handed to the handler.
 #[derive(Debug)]
 pub struct Host {
     address: SocketAddr,
@@ -26,9 +33,16 @@
     where
         F: Fn(&Request) -> Response + Send + Sync + 'static,
     {
-        let server = rouille::Server::new(listen, handler).map_err(io::Error::other)?;
-        let address = server.server_addr();
         let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let guarded = move |request: &Request| {
+            if stopped.load(Ordering::Relaxed) {
+                return broken();
+            }
+            handler(request)
+        };
+        let server = rouille::Server::new(listen, guarded).map_err(io::Error::other)?;
+        let address = server.server_addr();
         let seen = Arc::clone(&stop);
         let thread = thread::spawn(move || {
             while !seen.load(Ordering::Relaxed) {
@@ -51,7 +65,12 @@
 impl Drop for Host {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
+        let Some(thread) = self.thread.take() else { return };
+        let asked = Instant::now();
+        while !thread.is_finished() && asked.elapsed() < STOP_WAIT {
+            thread::sleep(STOP_PAUSE);
+        }
+        if thread.is_finished() {
             // A panic of the thread has been printed already.
             drop(thread.join());
         }
