Show a newcomer the whole system in a demo that checks itself

Cause: the README's first command had nothing behind it. Change: standin demo runs a platform, four workers and three instances on loopback in one process, and walks through a ticket, a call, a gang, a reclaim, a cancel, raced tickets, a killed instance and a planned stop; it compares each with the workers' record and ends with an error if something is not so. Ruled out: scripted output, which could not be wrong. Conclusion: the path is complete from the README's first command.

--- a/standin/src/command/mod.rs
+++ b/standin/src/command/mod.rs
@@ -13,6 +13,8 @@
 /// What to do.
 #[derive(Debug, Subcommand)]
 pub enum Command {
+    /// Walk through a job, a gang, a reclaimed guarantee and failures, and check each.
+    Demo,
     /// Drive running instances and check their answers.
     Load(load::LoadOptions),
     /// Serve the table, the object store and the list.
@@ -28,6 +30,7 @@
     /// Does it.
     pub fn run(&self) -> Result<()> {
         match self {
+            Self::Demo => standin::demo::run().into_diagnostic(),
             Self::Load(options) => options.run(),
             Self::Platform(options) => options.run(),
             Self::Worker(options) => options.run(),
--- /dev/null
+++ b/standin/src/demo/mod.rs
@@ -0,0 +1,12 @@
+//! A guided tour that checks what it shows.
+//!
+//! Platform, workers and three instances run in this process and talk over loopback. Each chapter does something as a
+//! caller or operator would, says what happened, and compares it with the workers' own record.
+
+mod error;
+mod site;
+mod tour;
+
+pub use error::DemoError;
+pub use site::{Running, Site};
+pub use tour::run;
--- /dev/null
+++ b/standin/src/demo/site.rs
@@ -0,0 +1,200 @@
+//! Platform, workers and instances in one process.
+
+use std::net::{SocketAddr, TcpListener};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use yuccaridge::api::JobView;
+use yuccaridge::client::Client;
+use yuccaridge::config::{Config, Origin, Override, Source};
+use yuccaridge::instance::Daemon;
+use yuccaridge::name::{InstanceName, JobId, PoolName};
+use yuccaridge::platform::{ListedWorker, Presence};
+use yuccaridge::time::{Millis, SystemClock};
+
+use super::DemoError;
+use crate::record::{Deed, Entry};
+use crate::server::{PlatformServer, WorkerServer};
+
+/// Longest time that the demo waits for anything.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An instance that runs in this process.
+#[derive(Debug)]
+pub struct Running {
+    /// Its name.
+    pub name: InstanceName,
+    /// A client of it.
+    pub client: Client,
+    daemon: Option<Daemon>,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub struct Site {
+    platform: PlatformServer,
+    workers: Vec<WorkerServer>,
+    /// Instances, dead ones among them.
+    pub instances: Vec<Running>,
+}
+
+fn free_port() -> Result<SocketAddr, DemoError> {
+    Ok(TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr())?)
+}
+
+fn listed(index: u16) -> Result<ListedWorker, DemoError> {
+    Ok(ListedWorker {
+        name: format!("worker-{index}").parse()?,
+        address: ([127, 0, 0, 1], 0).into(),
+        rack: "rack-0".parse()?,
+        domain: "south".parse()?,
+        cores: 130,
+        memory_mb: 262_144,
+        accelerators: 8,
+        slots: 8,
+        connections: 60,
+        presence: Presence::Live,
+    })
+}
+
+impl Site {
+    /// Starts one rack of workers and these instances.
+    pub fn start(workers: u16, instances: &[&str]) -> Result<Self, DemoError> {
+        let platform = PlatformServer::start(([127, 0, 0, 1], 0).into())?;
+        let clock = SystemClock::start();
+        let mut site = Self {
+            platform,
+            workers: Vec::new(),
+            instances: Vec::new(),
+        };
+        for index in 0..workers {
+            let worker = WorkerServer::start(listed(index)?, 1.0, clock)?;
+            site.platform.list_worker(worker.listed());
+            site.workers.push(worker);
+        }
+        for name in instances {
+            site.add_instance(name)?;
+        }
+        site.until("the instances did not find each other", |site| {
+            let mut clients = site.instances.iter().map(|instance| &instance.client);
+            clients.all(|client| {
+                client
+                    .status()
+                    .is_ok_and(|status| status.instances.len() == instances.len())
+            })
+        })?;
+        Ok(site)
+    }
+
+    fn add_instance(&mut self, name: &str) -> Result<(), DemoError> {
+        let (listen, platform) = (free_port()?, self.platform.address().to_string());
+        let mut overrides = Vec::new();
+        for (path, value) in [
+            ("instance", name.to_owned()),
+            ("domain", "south".to_owned()),
+            ("listen", listen.to_string()),
+            ("peer", free_port()?.to_string()),
+            ("platform.table", platform.clone()),
+            ("platform.objects", platform.clone()),
+            ("platform.list", platform),
+        ] {
+            overrides.push(Override {
+                path: path.to_owned(),
+                value,
+                origin: Origin::CommandLine,
+            });
+        }
+        let config = Config::resolve(&Source::parse("demo", "{}")?, &overrides)?;
+        let daemon = Some(Daemon::start(&config)?);
+        let client = Client::new(listen, Millis::from_secs(30));
+        self.instances.push(Running {
+            name: name.parse()?,
+            client,
+            daemon,
+        });
+        Ok(())
+    }
+
+    /// Waits until something holds, or says that it does not.
+    pub fn until<F>(&self, failure: &str, mut holds: F) -> Result<(), DemoError>
+    where
+        F: FnMut(&Self) -> bool,
+    {
+        let start = Instant::now();
+        while !holds(self) {
+            if start.elapsed() > PATIENCE {
+                return Err(DemoError::Untrue(failure.to_owned()));
+            }
+            sleep(Duration::from_millis(10));
+        }
+        Ok(())
+    }
+
+    /// The instances that run.
+    pub fn running(&self) -> Vec<&Running> {
+        self.instances
+            .iter()
+            .filter(|instance| instance.daemon.is_some())
+            .collect()
+    }
+
+    /// The instance that plans a pool.
+    pub fn planner(&self, pool: &PoolName) -> Option<&Running> {
+        let running = self.running();
+        let status = running.iter().find_map(|instance| instance.client.status().ok())?;
+        let holder = status.pools.get(pool)?.clone()?;
+        running.into_iter().find(|instance| instance.name == holder)
+    }
+
+    /// An instance that runs and does not plan a pool.
+    pub fn bystander(&self, pool: &PoolName) -> Option<&Running> {
+        let holder = self.planner(pool)?.name.clone();
+        self.running().into_iter().find(|instance| instance.name != holder)
+    }
+
+    /// Takes an instance's daemon away, to stop it.
+    pub fn take(&mut self, name: &InstanceName) -> Option<Daemon> {
+        self.instances
+            .iter_mut()
+            .find(|instance| instance.name == *name)?
+            .daemon
+            .take()
+    }
+
+    /// Waits for a job's end.
+    pub fn end_of(&self, client: &Client, job: &JobId) -> Result<JobView, DemoError> {
+        let start = Instant::now();
+        loop {
+            let view = client.job(job, Millis::from_secs(5))?;
+            if view.outcome.is_some() {
+                return Ok(view);
+            }
+            if start.elapsed() > PATIENCE {
+                return Err(DemoError::Untrue(format!("job {job} did not end")));
+            }
+        }
+    }
+
+    /// What the workers did for a job.
+    pub fn record(&self, job: &JobId) -> Vec<Entry> {
+        self.workers
+            .iter()
+            .flat_map(WorkerServer::record)
+            .filter(|entry| entry.job == *job)
+            .collect()
+    }
+
+    /// How often something happened to a job's members.
+    pub fn count(&self, job: &JobId, deed: Deed) -> usize {
+        self.record(job).iter().filter(|entry| entry.deed == deed).count()
+    }
+
+    /// Ends everything.
+    pub fn stop(mut self) {
+        for instance in &mut self.instances {
+            if let Some(daemon) = instance.daemon.take() {
+                daemon.abort();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/demo/tour.rs
@@ -0,0 +1,299 @@
+//! The chapters.
+
+use std::thread;
+use std::time::Instant;
+
+use serde_json::{Value, json};
+use yuccaridge::client::Client;
+use yuccaridge::job::Outcome;
+use yuccaridge::name::{JobId, PoolName};
+
+use super::{DemoError, Site};
+use crate::record::Deed;
+
+/// Bound for the start of urgent guaranteed work, in seconds.
+const RECLAIM_MAX_S: f64 = 2.6;
+const WORKERS: u16 = 4;
+
+fn say(text: &str) {
+    println!("  {text}");
+}
+
+fn chapter(number: u8, title: &str) {
+    println!("\n{number}. {title}");
+}
+
+/// Prints what was seen if it is so, and ends the demo if it is not.
+fn check(so: bool, what: &str) -> Result<(), DemoError> {
+    if !so {
+        return Err(DemoError::Untrue(format!("this is not so: {what}")));
+    }
+    println!("  [ok] {what}");
+    Ok(())
+}
+
+fn id(text: &str) -> Result<JobId, DemoError> {
+    Ok(text.parse()?)
+}
+
+fn untrue(text: &str) -> DemoError {
+    DemoError::Untrue(text.to_owned())
+}
+
+fn ticket(quota: u32) -> Vec<u8> {
+    let guarantee = json!({ "pool": "south", "level": "worker", "accelerators": 8, "count": 1 });
+    let body = json!({ "objects": {
+        "pool": { "south": { "domains": ["south"] } },
+        "kind": {
+            "photo-check": { "class": "batch", "about": "compares part photos with the catalogue" },
+            "stock-count": { "class": "call", "about": "takes a shop's evening count" },
+        },
+        "team": {
+            "norden": { "quota": quota, "kinds": ["photo-check", "stock-count"], "guarantees": [guarantee] },
+            "dakar": { "quota": 64, "kinds": ["photo-check", "stock-count"] },
+        },
+    } });
+    body.to_string().into_bytes()
+}
+
+fn photo_check(team: &str, members: u16, accelerators: u16, work_ms: u64, urgent: bool) -> Vec<u8> {
+    let body = json!({
+        "team": team, "kind": "photo-check", "class": "batch", "idempotent": true, "checkpoints": true,
+        "urgent": urgent, "run_time_s": work_ms / 1000,
+        "shape": { "members": members, "accelerators": accelerators, "adjacent": "rack" },
+        "payload": { "work_ms": work_ms, "answer": "checked", "checkpoint_ms": 300 },
+    });
+    body.to_string().into_bytes()
+}
+
+fn stock_count(work_ms: u64, idempotent: bool) -> Vec<u8> {
+    let body = json!({
+        "team": "norden", "kind": "stock-count", "class": "call", "idempotent": idempotent,
+        "payload": { "work_ms": work_ms, "answer": { "rods": 12 }, "parts": 3 },
+    });
+    body.to_string().into_bytes()
+}
+
+fn answer(outcome: Option<Outcome>) -> Option<Value> {
+    match outcome {
+        Some(Outcome::Completed { answer }) => Some(answer),
+        _ => None,
+    }
+}
+
+/// Runs all chapters; the first thing that is not as shown ends them.
+pub fn run() -> Result<(), DemoError> {
+    println!("Starting a platform stand-in, {WORKERS} workers with 8 accelerators each, and the instances a, b and c.");
+    let mut site = Site::start(WORKERS, &["a", "b", "c"])?;
+    let pool: PoolName = "south".parse()?;
+    first_ticket(&site, &pool)?;
+    one_call(&site)?;
+    gang(&site)?;
+    reclaim(&site)?;
+    cancelled(&site)?;
+    raced_ticket(&site)?;
+    killed_instance(&mut site, &pool)?;
+    planned_stop(&mut site, &pool)?;
+    site.stop();
+    println!("\nAll of it was so.");
+    Ok(())
+}
+
+fn first_ticket(site: &Site, pool: &PoolName) -> Result<(), DemoError> {
+    chapter(1, "A change ticket");
+    say("Ticket 1 creates a pool, two kinds of jobs and two teams; norden is guaranteed one whole worker.");
+    let start = Instant::now();
+    site.instances[0].client.put_ticket(1, &ticket(32))?;
+    let took = start.elapsed().as_millis();
+    let mut numbers = Vec::new();
+    for instance in &site.instances {
+        numbers.push(instance.client.catalog()?.number);
+    }
+    check(
+        numbers == [1, 1, 1],
+        &format!("it is in force on all three instances, {took} ms after it was sent"),
+    )?;
+    site.until("nobody plans the pool", |site| site.planner(pool).is_some())
+}
+
+fn one_call(site: &Site) -> Result<(), DemoError> {
+    chapter(2, "A call");
+    let job = id("count-1")?;
+    let view = site.instances[1].client.submit(&job, &stock_count(20, false), None)?;
+    let part = json!({ "rods": 12 });
+    check(
+        answer(view.outcome) == Some(json!([part, part, part])),
+        "all three parts of the answer came, in order",
+    )?;
+    site.instances[2].client.submit(&job, &stock_count(20, false), None)?;
+    check(
+        site.count(&job, Deed::Started) == 1,
+        "sent again to another instance, it was not run a second time",
+    )
+}
+
+fn gang(site: &Site) -> Result<(), DemoError> {
+    chapter(3, "A gang");
+    let job = id("photos-1")?;
+    site.instances[0]
+        .client
+        .submit(&job, &photo_check("dakar", 4, 4, 400, false), None)?;
+    let view = site.end_of(&site.instances[2].client, &job)?;
+    let record = site.record(&job);
+    let last_held = record
+        .iter()
+        .filter(|entry| entry.deed == Deed::Held)
+        .map(|entry| entry.at)
+        .max();
+    let first_started = record
+        .iter()
+        .filter(|entry| entry.deed == Deed::Started)
+        .map(|entry| entry.at)
+        .min();
+    check(
+        last_held <= first_started,
+        "no member started before all four held their 4 accelerators",
+    )?;
+    check(
+        answer(view.outcome) == Some(json!(vec!["checked"; 4])),
+        "the answer has all four members' parts",
+    )
+}
+
+fn reclaim(site: &Site) -> Result<(), DemoError> {
+    chapter(4, "A guarantee is claimed");
+    say("Dakar borrows all 32 accelerators with 4 jobs; then norden submits an urgent job for its guaranteed worker.");
+    let client = &site.instances[0].client;
+    let mut borrowers = Vec::new();
+    for number in 0..WORKERS {
+        let job = id(&format!("borrower-{number}"))?;
+        client.submit(&job, &photo_check("dakar", 1, 8, 8000, false), None)?;
+        borrowers.push(job);
+    }
+    site.until("the borrowers did not start", |site| {
+        borrowers.iter().all(|job| site.count(job, Deed::Started) == 1)
+    })?;
+    let urgent = id("urgent-1")?;
+    let start = Instant::now();
+    client.submit(&urgent, &photo_check("norden", 1, 8, 200, true), None)?;
+    site.until("the urgent job did not start", |site| {
+        site.count(&urgent, Deed::Started) == 1
+    })?;
+    let took = start.elapsed().as_secs_f64();
+    check(
+        took <= RECLAIM_MAX_S,
+        &format!("the urgent job started {took:.2} s later; the bound is {RECLAIM_MAX_S} s"),
+    )?;
+    let stopped: usize = borrowers.iter().map(|job| site.count(job, Deed::Stopped)).sum();
+    check(stopped == 1, "exactly one borrower was stopped, with a checkpoint")?;
+    for job in &borrowers {
+        site.end_of(client, job)?;
+    }
+    let resumed = borrowers.iter().flat_map(|job| site.record(job));
+    let resumed = resumed
+        .filter(|entry| entry.deed == Deed::Started && entry.resumed)
+        .count();
+    check(
+        resumed == 1,
+        "it went on from the checkpoint afterwards, and all borrowers completed",
+    )
+}
+
+fn cancelled(site: &Site) -> Result<(), DemoError> {
+    chapter(5, "A cancelled job");
+    let job = id("photos-2")?;
+    site.instances[0]
+        .client
+        .submit(&job, &photo_check("dakar", 2, 8, 60_000, false), None)?;
+    site.until("the job did not start", |site| site.count(&job, Deed::Started) == 2)?;
+    site.instances[1].client.cancel(&job)?;
+    let view = site.end_of(&site.instances[2].client, &job)?;
+    check(
+        view.outcome == Some(Outcome::Cancelled { ran: true }),
+        "its caller is told that it was cancelled and had run",
+    )?;
+    check(site.count(&job, Deed::Stopped) == 2, "both members had stopped by then")
+}
+
+fn raced_ticket(site: &Site) -> Result<(), DemoError> {
+    chapter(6, "Two operators race with ticket 2");
+    let senders = [(40, 0), (48, 1)].map(|(quota, index)| {
+        let client = site.instances[index].client.clone();
+        (quota, thread::spawn(move || client.put_ticket(2, &ticket(quota))))
+    });
+    let mut winners = Vec::new();
+    for (quota, sender) in senders {
+        match sender.join().map_err(|_panic| untrue("a sender panicked"))? {
+            Ok(_) => winners.push(quota),
+            Err(error) => say(&format!("the loser is told: {error}")),
+        }
+    }
+    check(winners.len() == 1, "one of them won")?;
+    let mut quotas = Vec::new();
+    for instance in &site.instances {
+        let teams = instance.client.catalog()?.teams;
+        quotas.extend(
+            teams
+                .iter()
+                .find(|(name, _)| name.as_str() == "norden")
+                .map(|(_, team)| team.quota),
+        );
+    }
+    check(quotas == [winners[0]; 3], "its ticket is in force on all instances")
+}
+
+fn killed_instance(site: &mut Site, pool: &PoolName) -> Result<(), DemoError> {
+    chapter(7, "The planning instance dies");
+    let job = id("photos-3")?;
+    let other = site
+        .bystander(pool)
+        .ok_or_else(|| untrue("no second instance"))?
+        .client
+        .clone();
+    other.submit(&job, &photo_check("dakar", 4, 8, 6000, false), None)?;
+    site.until("the job did not start", |site| site.count(&job, Deed::Started) == 4)?;
+    let dead = site
+        .planner(pool)
+        .ok_or_else(|| untrue("nobody plans the pool"))?
+        .name
+        .clone();
+    if let Some(daemon) = site.take(&dead) {
+        daemon.abort();
+    }
+    let start = Instant::now();
+    site.until("nobody took the pool over", |site| site.planner(pool).is_some())?;
+    say(&format!(
+        "instance {dead} died; another plans the pool {:.1} s later",
+        start.elapsed().as_secs_f64()
+    ));
+    let view = site.end_of(&other, &job)?;
+    check(answer(view.outcome).is_some(), "the job that it had started completed")?;
+    check(
+        site.count(&job, Deed::Started) == 4,
+        "each of its four members started exactly once",
+    )
+}
+
+fn planned_stop(site: &mut Site, pool: &PoolName) -> Result<(), DemoError> {
+    chapter(8, "A planned stop");
+    let leaving = site.planner(pool).ok_or_else(|| untrue("nobody plans the pool"))?;
+    let (name, client): (_, Client) = (leaving.name.clone(), leaving.client.clone());
+    let job = id("count-2")?;
+    let caller = {
+        let job = job.clone();
+        thread::spawn(move || client.submit(&job, &stock_count(2000, false), None))
+    };
+    site.until("the call did not start", |site| site.count(&job, Deed::Started) == 1)?;
+    say(&format!(
+        "instance {name} is told to stop while a call of 2 s runs there"
+    ));
+    if let Some(daemon) = site.take(&name) {
+        daemon.drain();
+    }
+    let view = caller.join().map_err(|_panic| untrue("the caller panicked"))??;
+    check(
+        answer(view.outcome).is_some(),
+        "the call was answered in full before the instance ended",
+    )?;
+    check(site.planner(pool).is_some(), "the last instance plans the pool")
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! for tests in one process with virtual time, and
 //! [`server`] puts them behind HTTP in real time.
 
+pub mod demo;
 pub mod fake;
 pub mod fault;
 pub mod load;
