Test that the stand-in servers are steered over HTTP

Cause: tests in other processes steer the servers over HTTP only, and only the functions behind it were tested.

Change: two tests of listing, marking, removing, faults, restart and record. No code changes.

--- a/standin/tests/server.rs
+++ b/standin/tests/server.rs
@@ -6,9 +6,12 @@
 use std::thread;
 
 use rouille::Response;
-use standin::server::{Host, PlatformServer};
-use yuccaridge::platform::Listing;
-use yuccaridge::platform::http::{HttpListing, Timeouts};
+use standin::record::{Deed, Entry};
+use standin::server::{Host, PlatformServer, WorkerServer};
+use yuccaridge::name::{DomainName, RackName, WorkerName};
+use yuccaridge::platform::http::{HttpListing, HttpWorkers, Timeouts};
+use yuccaridge::platform::{Listed, ListedWorker, Listing, Presence, Workers};
+use yuccaridge::time::SystemClock;
 
 fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
@@ -62,3 +65,77 @@
     drop(platform);
     listing.list().unwrap_err();
 }
+
+/// Sends a request as a test in another process would; the status of its answer.
+fn control(method: &str, server: SocketAddr, path: &str, body: &str) -> u16 {
+    let method = attohttpc::Method::from_bytes(method.as_bytes()).unwrap();
+    let request = attohttpc::RequestBuilder::new(method, format!("http://{server}{path}"));
+    request.text(body).send().unwrap().status().as_u16()
+}
+
+/// Guards against a platform that tests in other processes cannot steer.
+#[test]
+fn platform_is_steered_over_http() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let listing = HttpListing::new(platform.address(), Timeouts::default());
+    let send = |method: &str, path: &str, body: &str| control(method, platform.address(), path, body);
+    let worker = r#"{"name":"w1","address":"127.0.0.1:1","rack":"r","domain":"d","cores":1,"memory_mb":1,
+        "accelerators":1,"slots":1,"connections":1,"presence":"live"}"#;
+    let instance = r#"{"name":"i1","address":"127.0.0.1:2","domain":"d","presence":"live"}"#;
+    assert_eq!(send("POST", "/v1/list/workers", worker), 200);
+    assert_eq!(send("POST", "/v1/list/instances", instance), 200);
+    let leaving = r#"{"workers":{"w1":"leaving"},"instances":{"i1":"leaving"}}"#;
+    assert_eq!(send("POST", "/v1/list/presences", leaving), 200);
+    let list = listing.list().unwrap();
+    assert_eq!(
+        (list.workers[0].presence, list.instances[0].presence),
+        (Presence::Leaving, Presence::Leaving)
+    );
+
+    assert_eq!(
+        send("POST", "/v1/faults", r#"{"target":"list","mishap":"outage"}"#),
+        200
+    );
+    listing.list().unwrap_err();
+    assert_eq!(send("DELETE", "/v1/faults", ""), 200);
+    assert_eq!(send("DELETE", "/v1/list/workers/w1", ""), 200);
+    assert_eq!(send("DELETE", "/v1/list/instances/i1", ""), 200);
+    assert_eq!(listing.list(), Ok(Listed::default()));
+    assert_eq!(
+        send("POST", "/v1/faults", r#"{"target":"moon","mishap":"outage"}"#),
+        400
+    );
+    assert_eq!(send("GET", "/v1/usage", ""), 200);
+    assert_eq!(send("GET", "/v1/other", ""), 400);
+}
+
+/// Guards against a worker whose boot or record tests in other processes cannot see change.
+#[test]
+fn worker_is_steered_over_http() {
+    let listed = ListedWorker {
+        name: WorkerName::new("w1").unwrap(),
+        address: loopback(),
+        rack: RackName::new("r").unwrap(),
+        domain: DomainName::new("d").unwrap(),
+        cores: 1,
+        memory_mb: 1,
+        accelerators: 1,
+        slots: 1,
+        connections: 1,
+        presence: Presence::Live,
+    };
+    let worker = WorkerServer::start(listed, 1.0, SystemClock::start()).unwrap();
+    let workers = HttpWorkers::new(Timeouts::default());
+    let send = |method: &str, path: &str, body: &str| control(method, worker.address(), path, body);
+    assert_eq!(send("POST", "/v1/restart", ""), 200);
+    assert_eq!(workers.report(worker.address()).unwrap().boot, 2);
+    assert_eq!(send("POST", "/v1/fails_all", "true"), 200);
+    let call = r#"{"job":"c1","attempt":1,"team":"t","kind":"k","deadline_ms":1000,"payload":{}}"#;
+    assert_eq!(send("POST", "/v1/calls/c1", call), 200);
+    let record = attohttpc::get(format!("http://{}/v1/record", worker.address()))
+        .send()
+        .unwrap();
+    let record: Vec<Entry> = serde_json::from_slice(&record.bytes().unwrap()).unwrap();
+    let deeds: Vec<_> = record.into_iter().map(|entry| entry.deed).collect();
+    assert_eq!(deeds, [Deed::Started, Deed::Failed]);
+}
