Let the list and the sessions be read by two threads

Cause: one slow source delayed the other, so a list that hangs also delayed takeovers; a panic in a step left its turn taken for ever; a read over the limit was told as an outage. Change: Member::step_list and step_sessions; turns end when dropped; a limited read answers 429. Tests: frozen renewals and tickets, late renewals, and eight threads at once on two instances. Ruled out: a lock around the steps, since it would be held during requests. Conclusion: the daemon may give the list a thread of its own.

--- a/src/accept/error.rs
+++ b/src/accept/error.rs
@@ -69,7 +69,7 @@
             Self::Impossible(_) => Code::Impossible,
             Self::Conflict(_) => Code::JobConflict,
             Self::Absent(_) => Code::NotFound,
-            Self::Busy => Code::Busy,
+            Self::Busy | Self::Table(TableError::Limited) | Self::Unread(TableError::Limited) => Code::Busy,
             Self::NoSession | Self::Table(_) | Self::Unread(_) | Self::Answer(_) | Self::Format(_) => Code::Unavailable,
             Self::Unknown(_) => Code::Unknown,
         }
--- a/src/member/state.rs
+++ b/src/member/state.rs
@@ -1,6 +1,7 @@
 //! Knowledge of instances and workers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::Deserialize;
@@ -9,7 +10,7 @@
 use crate::name::{InstanceName, PoolName, WorkerName};
 use crate::platform::{Check, Listed, Listing, Presence, Put, Row, Step, Table, TableError, Txn, Version};
 use crate::row::{OpIds, PoolRow, SessionRow, key, scan_all};
-use crate::session::{LEASE, MARGIN};
+use crate::session::{LEASE, MARGIN, Turn};
 use crate::time::Millis;
 
 #[derive(Debug, Clone)]
@@ -36,7 +37,6 @@
     leaving: BTreeSet<InstanceName>,
     sessions_due: Millis,
     list_due: Millis,
-    busy: bool,
 }
 
 /// What is known of instances and workers. Only one thread steps it; all may ask.
@@ -45,6 +45,8 @@
     table: Arc<dyn Table>,
     listing: Arc<dyn Listing>,
     state: Mutex<State>,
+    list_turn: AtomicBool,
+    sessions_turn: AtomicBool,
 }
 
 impl Member {
@@ -54,6 +56,8 @@
             table,
             listing,
             state: Mutex::default(),
+            list_turn: AtomicBool::new(false),
+            sessions_turn: AtomicBool::new(false),
         }
     }
 
@@ -63,34 +67,49 @@
 
     /// Reads what is due. A failure of the one source does not keep it from reading the other.
     pub fn step(&self, now: Millis) -> Result<(), MemberError> {
-        let (sessions, list) = {
-            let mut state = self.state();
-            if state.busy {
-                return Ok(());
-            }
-            state.busy = true;
-            for observed in state.sessions.values_mut() {
-                observed.seen.get_or_insert(now);
-            }
-            (now >= state.sessions_due, now >= state.list_due)
+        let list = self.step_list(now);
+        self.step_sessions(now)?;
+        list
+    }
+
+    /// Reads the list if that is due. A thread of its own for this keeps a slow list from delaying takeovers.
+    pub fn step_list(&self, now: Millis) -> Result<(), MemberError> {
+        let Some(_turn) = Turn::take(&self.list_turn) else {
+            return Ok(());
         };
-        let mut result = Ok(());
-        if list {
-            match self.listing.list() {
-                Ok(listed) => self.take_list(now, listed),
-                Err(error) => result = Err(error.into()),
-            }
-            self.state().list_due = now + LIST_EVERY;
+        if now < self.state().list_due {
+            return Ok(());
         }
-        if sessions {
-            match scan_all(&*self.table, key::SESSIONS, None) {
-                Ok(rows) => self.take_sessions(now, &rows),
-                Err(error) => result = Err(error.into()),
-            }
-            self.state().sessions_due = now + SESSIONS_EVERY;
+        self.state().list_due = now + LIST_EVERY;
+        let listed = self.listing.list()?;
+        self.take_list(now, listed);
+        Ok(())
+    }
+
+    /// Reads the session rows if that is due.
+    pub fn step_sessions(&self, now: Millis) -> Result<(), MemberError> {
+        let Some(_turn) = Turn::take(&self.sessions_turn) else {
+            return Ok(());
+        };
+        if !self.note_seen(now) {
+            return Ok(());
+        }
+        let rows = scan_all(&*self.table, key::SESSIONS, None)?;
+        self.take_sessions(now, &rows);
+        Ok(())
+    }
+
+    /// What earlier steps read was there by now; whether the rows are to be read again.
+    fn note_seen(&self, now: Millis) -> bool {
+        let mut state = self.state();
+        for observed in state.sessions.values_mut() {
+            observed.seen.get_or_insert(now);
+        }
+        if now < state.sessions_due {
+            return false;
         }
-        self.state().busy = false;
-        result
+        state.sessions_due = now + SESSIONS_EVERY;
+        true
     }
 
     fn take_sessions(&self, now: Millis, rows: &[Row]) {
--- a/src/session/mod.rs
+++ b/src/session/mod.rs
@@ -8,10 +8,12 @@
 mod error;
 mod load;
 mod state;
+mod turn;
 
 pub use error::SessionError;
 pub use load::{View, load};
 pub use state::Session;
+pub(crate) use turn::Turn;
 
 use crate::time::Millis;
 
--- a/src/session/state.rs
+++ b/src/session/state.rs
@@ -1,11 +1,12 @@
 //! The session.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::Deserialize;
 use serde_json::json;
 
-use super::{LEASE, MARGIN, RENEW, RETRY, SessionError, View, load};
+use super::{LEASE, MARGIN, RENEW, RETRY, SessionError, Turn, View, load};
 use crate::name::{DomainName, InstanceName};
 use crate::platform::{Address, Check, Put, Step, Table, TableError, Txn, Version};
 use crate::row::{OpIds, SessionRow, commit, key};
@@ -35,7 +36,6 @@
     draining: bool,
     left: bool,
     due: Millis,
-    busy: bool,
 }
 
 impl State {
@@ -54,6 +54,7 @@
     table: Arc<dyn Table>,
     ops: Arc<OpIds>,
     state: Mutex<State>,
+    turn: AtomicBool,
 }
 
 impl Session {
@@ -74,6 +75,7 @@
             table,
             ops,
             state: Mutex::default(),
+            turn: AtomicBool::new(false),
         }
     }
 
@@ -151,26 +153,26 @@
 
     /// Renews the session now. Does nothing if another thread is at it.
     pub fn refresh(&self, now: Millis) -> Result<(), SessionError> {
-        {
-            let mut state = self.state();
-            if state.left {
-                return Err(SessionError::Left);
-            }
-            if state.busy {
-                return Ok(());
-            }
-            state.busy = true;
-            if let Some(foreign) = &mut state.foreign {
-                foreign.seen.get_or_insert(now);
-            }
-        }
+        let Some(_turn) = Turn::take(&self.turn) else {
+            return Ok(());
+        };
+        self.begin(now)?;
         let result = self.advance(now);
-        let mut state = self.state();
-        state.busy = false;
-        state.due = now + if result.is_ok() { RENEW } else { RETRY };
+        self.state().due = now + if result.is_ok() { RENEW } else { RETRY };
         result
     }
 
+    fn begin(&self, now: Millis) -> Result<(), SessionError> {
+        let mut state = self.state();
+        if state.left {
+            return Err(SessionError::Left);
+        }
+        if let Some(foreign) = &mut state.foreign {
+            foreign.seen.get_or_insert(now);
+        }
+        Ok(())
+    }
+
     fn advance(&self, now: Millis) -> Result<(), SessionError> {
         let mut last = SessionError::Changing;
         for _ in 0..TRIES {
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -5,6 +5,7 @@
 mod call;
 mod doubt;
 mod member;
+mod race;
 mod session;
 mod ticket;
 mod world;
