Share transactions between requests that wait

Change: accept sends a write at once if none is under way; those that arrive meanwhile go together, up to 32 writes or 512 KiB. A write that fails its check is taken out and the others are sent again. Ruled out: a thread that collects for a fixed time, since it would delay every single request. Conclusion: waves cost few transactions; a lone request still costs one.

--- a/src/accept/mod.rs
+++ b/src/accept/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! A job is accepted only once its row and its mark in the queue are written, in one transaction that also checks that
 //! the configuration it was checked against is still the newest. Digests of the bodies tell a repeat from a conflict.
+//! Requests that arrive while a write is under way share the next transaction.
 
 mod check;
 mod choose;
 mod error;
+mod group;
 mod state;
 mod view;
 
--- a/src/accept/state.rs
+++ b/src/accept/state.rs
@@ -5,14 +5,15 @@
 
 use serde_json::json;
 
+use super::group::{Group, Write};
 use super::view::StoredJob;
 use super::{AcceptError, check_spec, choose_pool, parse, read_job, view_job};
 use crate::api::JobView;
 use crate::job::{Class, JobRow, JobSpec, Outcome, Phase};
 use crate::member::Member;
 use crate::name::{JobId, PoolName};
-use crate::platform::{Check, Objects, Put, Step, Table, TableError, Txn};
-use crate::row::{OpIds, commit, digest, key};
+use crate::platform::{Check, Objects, Put, Step, Table, TableError};
+use crate::row::{OpIds, digest, key};
 use crate::session::{Session, View};
 use crate::time::Millis;
 
@@ -30,7 +31,7 @@
     member: Arc<Member>,
     table: Arc<dyn Table>,
     objects: Arc<dyn Objects>,
-    ops: Arc<OpIds>,
+    group: Group,
     waiting: Mutex<BTreeMap<PoolName, (Millis, usize)>>,
 }
 
@@ -56,9 +57,9 @@
         Self {
             session,
             member,
+            group: Group::new(Arc::clone(&table), ops),
             table,
             objects,
-            ops,
             waiting: Mutex::default(),
         }
     }
@@ -69,6 +70,11 @@
         waiting.insert(pool, (now, jobs));
     }
 
+    /// Requests whose write waits until another one is done.
+    pub fn unsent(&self) -> usize {
+        self.group.waiting()
+    }
+
     fn known_waiting(&self, now: Millis) -> BTreeMap<PoolName, usize> {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         waiting.retain(|_, (at, _)| now.since(*at) <= HINT_TTL);
@@ -158,9 +164,8 @@
 
     /// Writes a job's row and sets or removes its mark in the queue.
     fn write(&self, now: Millis, step: Step, checks: Vec<Check>, row: JobRow, queued: bool) -> Result<JobView, Retry> {
-        let txn = Txn {
+        let write = Write {
             step,
-            op: self.ops.next(),
             checks,
             puts: vec![
                 Put {
@@ -173,8 +178,8 @@
                 },
             ],
         };
-        match commit(&*self.table, &txn) {
-            Ok(_) => view_job(&*self.objects, row).map_err(Retry::Refused),
+        match self.group.commit(write) {
+            Ok(()) => view_job(&*self.objects, row).map_err(Retry::Refused),
             Err(TableError::Conflict { key, .. }) => {
                 if key == key::HEAD {
                     // A failure shows in the next try.
