Answer on the server below rouille, without Nagle's delay

Cause: an answer above 1 KB on a kept connection took 48 ms, because rouille's server writes header and body apart and does not let its caller set TCP_NODELAY; it also stays deaf once accepting has failed. Change: the listener is opened by api::server with TCP_NODELAY and a write timeout and handed to tiny_http, the server that rouille itself runs on; rouille still parses request line and header. A request is counted by a pass that it owns instead of one in thread-local storage. Ruled out: a read timeout on the listener, since it also ends accept; shorter answers, since the limit is 1 KB with header.

--- a/src/api/answer.rs
+++ b/src/api/answer.rs
@@ -1,8 +1,10 @@
 //! Answers before they are written.
 
-use rouille::{Response, ResponseBody};
+use std::io::Cursor;
+
 use serde::Serialize;
 use serde_json::json;
+use tiny_http::{Header, Response, StatusCode};
 
 use super::{ApiError, Code};
 
@@ -67,19 +69,28 @@
     }
 
     /// The response, with the hop's `traceparent`.
-    pub(super) fn into_response(self, traceparent: String) -> Response {
-        let mut headers = vec![
-            ("Content-Type".into(), self.mime.into()),
-            ("traceparent".into(), traceparent.into()),
+    pub(super) fn into_response(self, traceparent: &str) -> Response<Cursor<Vec<u8>>> {
+        let mut fields = vec![
+            ("Content-Type", self.mime.to_owned()),
+            ("traceparent", traceparent.to_owned()),
         ];
         if let Some(seconds) = self.retry_after {
-            headers.push(("Retry-After".into(), seconds.to_string().into()));
+            fields.push(("Retry-After", seconds.to_string()));
         }
-        Response {
-            status_code: self.status,
-            headers,
-            data: ResponseBody::from_data(self.body),
-            upgrade: None,
+        let mut headers = Vec::new();
+        for (name, value) in fields {
+            // All of these values are printable ASCII.
+            headers.extend(Header::from_bytes(name, value));
         }
+        let size = self.body.len();
+        // With its length announced, a client can tell a cut answer from a whole one.
+        Response::new(
+            StatusCode(self.status),
+            headers,
+            Cursor::new(self.body),
+            Some(size),
+            None,
+        )
+        .with_chunked_threshold(usize::MAX)
     }
 }
--- a/src/api/body.rs
+++ b/src/api/body.rs
@@ -1,9 +1,9 @@
 //! Reading of bodies.
 
-use std::io::Read;
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-use rouille::Request;
+use tiny_http::Request;
 
 use super::{ApiError, Code};
 use crate::config::Limits;
@@ -17,24 +17,28 @@
 
 /// Size that the header declares.
 pub(super) fn declared(request: &Request) -> Option<u64> {
-    request.header("Content-Length").and_then(|value| value.parse().ok())
+    let header = request
+        .headers()
+        .iter()
+        .find(|header| header.field.equiv("Content-Length"));
+    header.and_then(|header| header.value.as_str().parse().ok())
 }
 
 /// Reads a body within the limits.
-pub(super) fn read(request: &Request, limits: &Limits) -> Result<Vec<u8>, ApiError> {
-    if declared(request).is_some_and(|size| size > limits.body_bytes) {
+pub(super) fn read(request: &mut Request, limits: &Limits) -> Result<Vec<u8>, ApiError> {
+    let declared = declared(request);
+    if declared.is_some_and(|size| size > limits.body_bytes) {
         return Err(too_large(limits));
     }
     let start = Instant::now();
     let time = Duration::from_millis(limits.header_ms);
     let mut bytes = Vec::new();
     let mut piece = vec![0; PIECE_BYTES];
-    let Some(mut reader) = request.data() else {
-        return Ok(bytes);
-    };
+    let reader = request.as_reader();
     loop {
         let count = match reader.read(&mut piece) {
             Ok(count) => count,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Err(too_slow(limits)),
             Err(e) => return Err(ApiError::new(Code::BadRequest, format!("The body broke off: {e}."))),
         };
         if count == 0 {
@@ -45,11 +49,10 @@
             return Err(too_large(limits));
         }
         if start.elapsed() > time {
-            let message = format!("The body did not arrive within {} ms.", limits.header_ms);
-            return Err(ApiError::new(Code::BadRequest, message));
+            return Err(too_slow(limits));
         }
     }
-    match declared(request) {
+    match declared {
         Some(size) if size > bytes.len() as u64 => {
             Err(ApiError::new(Code::BadRequest, "The body is shorter than declared."))
         }
@@ -57,6 +60,11 @@
     }
 }
 
+fn too_slow(limits: &Limits) -> ApiError {
+    let message = format!("The body did not arrive within {} ms.", limits.header_ms);
+    ApiError::new(Code::BadRequest, message)
+}
+
 fn too_large(limits: &Limits) -> ApiError {
     let message = format!(
         "The body is larger than {} bytes. Put large input into the object store and name it in the payload.",
--- a/src/api/gate.rs
+++ b/src/api/gate.rs
@@ -1,9 +1,5 @@
 //! Admission of requests, and the count of those that a stop must wait for.
-//!
-//! rouille gives each request a thread of its own and writes the answer on it after the handler has returned. A pass is
-//! therefore kept in that thread's local storage: it ends with the thread, which is after the answer was written.
 
-use std::cell::RefCell;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -20,7 +16,7 @@
 
 #[derive(Debug, Default)]
 struct Counts {
-    /// Requests on a thread.
+    /// Requests under way.
     open: usize,
     /// Of these, the ones not read in full that had begun before the stop.
     unread: usize,
@@ -54,16 +50,13 @@
     Refused,
 }
 
+/// A request that is counted until its pass is dropped, which is after its answer was written.
 #[derive(Debug)]
-struct Pass {
+pub(super) struct Pass {
     gate: Arc<Gate>,
     stage: Stage,
 }
 
-thread_local! {
-    static PASS: RefCell<Option<Pass>> = const { RefCell::new(None) };
-}
-
 impl Gate {
     /// A gate with these bounds.
     pub fn new(open_max: usize, admitted_max: usize) -> Self {
@@ -80,43 +73,21 @@
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in a request on the present thread, to be counted until the thread ends.
-    pub(super) fn enter(self: &Arc<Self>) -> Result<(), Closed> {
+    /// Counts a request, whether it is refused or not.
+    pub(super) fn enter(self: &Arc<Self>) -> (Pass, Result<(), Closed>) {
         let mut counts = self.lock();
         counts.open += 1;
         let (stage, result) = if counts.open > self.open_max {
             (Stage::Refused, Err(Closed::Full))
         } else if counts.stopping {
-            (Stage::Refused, Ok(()))
+            (Stage::Refused, Err(Closed::Stopping))
         } else {
             counts.unread += 1;
             (Stage::Unread, Ok(()))
         };
         drop(counts);
         let gate = Arc::clone(self);
-        let before = PASS.with_borrow_mut(|pass| pass.replace(Pass { gate, stage }));
-        drop(before);
-        result
-    }
-
-    /// Admits the present thread's request, which has been read in full.
-    pub(super) fn admit(&self) -> Result<(), Closed> {
-        PASS.with_borrow_mut(|pass| {
-            let mut counts = self.lock();
-            if counts.stopping {
-                return Err(Closed::Stopping);
-            }
-            if counts.admitted >= self.admitted_max {
-                return Err(Closed::Full);
-            }
-            let Some(pass) = pass.as_mut().filter(|pass| pass.stage == Stage::Unread) else {
-                return Err(Closed::Full);
-            };
-            pass.stage = Stage::Admitted;
-            counts.unread -= 1;
-            counts.admitted += 1;
-            Ok(())
-        })
+        (Pass { gate, stage }, result)
     }
 
     /// Whether a stop has begun.
@@ -156,6 +127,23 @@
     }
 }
 
+impl Pass {
+    /// Admits a request that has been read in full.
+    pub fn admit(&mut self) -> Result<(), Closed> {
+        let mut counts = self.gate.lock();
+        if counts.stopping {
+            return Err(Closed::Stopping);
+        }
+        if counts.admitted >= self.gate.admitted_max {
+            return Err(Closed::Full);
+        }
+        counts.unread -= 1;
+        counts.admitted += 1;
+        self.stage = Stage::Admitted;
+        Ok(())
+    }
+}
+
 impl Drop for Pass {
     fn drop(&mut self) {
         let mut counts = self.gate.lock();
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -1,16 +1,16 @@
 //! The HTTP server.
 
 use std::collections::VecDeque;
-use std::net::TcpStream;
-use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use std::{fmt, io, mem};
 
-use rouille::{Request, Response};
 use thiserror::Error;
+use tiny_http::Request;
 
 use super::service::Service;
 use super::{Drained, Gate, Handler};
@@ -26,10 +26,12 @@
 const PROBE: Duration = Duration::from_secs(2);
 /// Time for a probe to connect, and for the loop to end after a stop.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// Time for which a client may leave its answer unread.
+const WRITE_SILENCE: Duration = Duration::from_secs(30);
 /// Failed listeners whose connections are still served.
 const FAILED_MAX: usize = 4;
 
-type Inner = rouille::Server<Box<dyn Fn(&Request) -> Response + Send + Sync>>;
+type Inner = tiny_http::Server;
 
 /// Failure to start.
 #[derive(Debug, Error)]
@@ -79,8 +81,8 @@
             metrics,
             tracer,
         });
-        let inner = bind(listen, &service)?;
-        let address = inner.server_addr();
+        let inner = bind(listen)?;
+        let address = inner.server_addr().to_ip().unwrap_or(listen);
         let ended = Arc::new(AtomicBool::new(false));
         let (flag, shared) = (Arc::clone(&ended), Arc::clone(&service));
         let thread = thread::Builder::new()
@@ -115,8 +117,6 @@
         let unread = limit.min(Millis(self.service.limits.header_ms));
         let drained = self.service.gate.wait(limit, unread);
         self.ended.store(true, Ordering::Release);
-        // The loop ends at the first pause between requests. Under load without a pause it is left to the end of the
-        // process: everything that it still takes is refused.
         let start = Instant::now();
         while !self.thread.is_finished() && start.elapsed() < PATIENCE {
             thread::sleep(POLL);
@@ -125,13 +125,24 @@
     }
 }
 
-fn bind(listen: Address, service: &Arc<Service>) -> Result<Inner, ServerError> {
-    let service = Arc::clone(service);
-    let answer: Box<dyn Fn(&Request) -> Response + Send + Sync> = Box::new(move |request| service.answer(request));
-    rouille::Server::new(listen, answer).map_err(|e| ServerError::Listen {
-        address: listen,
-        reason: e.to_string(),
-    })
+/// A listener whose connections send at once, and give up a client that does not read its answer.
+///
+/// Accepted sockets inherit these options. Without `TCP_NODELAY` an answer above 1 KB on a kept connection waits 40 ms
+/// for the client's delayed acknowledgement, since `tiny_http` writes header and body apart. A read timeout cannot be
+/// set in this way, because it would also end `accept`, which `tiny_http` takes for a failure of the listener.
+fn open(address: Address) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    // The standard library has the setters on streams only.
+    let socket = TcpStream::from(OwnedFd::from(listener));
+    socket.set_nodelay(true)?;
+    socket.set_write_timeout(Some(WRITE_SILENCE))?;
+    Ok(TcpListener::from(OwnedFd::from(socket)))
+}
+
+fn bind(address: Address) -> Result<Inner, ServerError> {
+    let failed = |reason: String| ServerError::Listen { address, reason };
+    let listener = open(address).map_err(|e| failed(e.to_string()))?;
+    Inner::from_listener(listener, None).map_err(|e| failed(e.to_string()))
 }
 
 /// Takes requests until the end. The accepting thread of `tiny_http` ends for good when accepting fails once, for example
@@ -139,12 +150,16 @@
 /// that the old one has accepted are still served through it.
 fn run(first: Inner, address: Address, service: &Arc<Service>, ended: &AtomicBool) {
     let mut newest = first;
-    let mut failed = VecDeque::new();
+    let mut failed: VecDeque<Inner> = VecDeque::new();
     let mut probed = Instant::now();
     while !ended.load(Ordering::Acquire) {
-        poll(&newest, POLL);
+        if let Ok(Some(request)) = newest.recv_timeout(POLL) {
+            hand_over(request, service);
+        }
         for old in &failed {
-            poll(old, Duration::ZERO);
+            while let Ok(Some(request)) = old.try_recv() {
+                hand_over(request, service);
+            }
         }
         if probed.elapsed() < PROBE {
             continue;
@@ -154,7 +169,7 @@
             continue;
         }
         log::error!("the listener on {address} has failed and is replaced");
-        match bind(address, service) {
+        match bind(address) {
             Ok(server) => failed.push_back(mem::replace(&mut newest, server)),
             Err(e) => log::error!("{e}"),
         }
@@ -164,10 +179,12 @@
     }
 }
 
-fn poll(server: &Inner, time: Duration) {
-    // rouille panics when it cannot start a thread for a request; that request is lost, the server goes on.
-    if catch_unwind(AssertUnwindSafe(|| server.poll_timeout(time))).is_err() {
-        log::error!("no thread can be started for a request");
+fn hand_over(request: Request, service: &Arc<Service>) {
+    let service = Arc::clone(service);
+    let thread = thread::Builder::new().name("request".to_owned());
+    // Dropped with the closure, the request is answered with status 500, and nothing was run.
+    if let Err(e) = thread.spawn(move || service.serve(request)) {
+        log::error!("no thread can be started for a request: {e}");
     }
 }
 
--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use rouille::{ReadWrite, Request, Response, Upgrade};
+use rouille::Request as Head;
 use serde_json::json;
+use tiny_http::{Request, Response, StatusCode};
 
-use super::gate::Closed;
+use super::gate::{Closed, Pass};
 use super::{Answer, ApiError, Code, Gate, Handler, Route, body};
 use crate::config::Limits;
 use crate::metric::Metrics;
@@ -26,20 +27,22 @@
 
 impl Service {
     /// Answers a request; runs on a thread of its own.
-    pub fn answer(&self, request: &Request) -> Response {
-        let entered = self.gate.enter();
-        if body::declared(request).is_some_and(|size| size > body::DISCARD_BYTES_MAX) {
-            return abandon();
+    pub fn serve(&self, mut request: Request) {
+        let (mut pass, entered) = self.gate.enter();
+        if body::declared(&request).is_some_and(|size| size > body::DISCARD_BYTES_MAX) {
+            abandon(request);
+            return;
         }
-        let wait = request.get_param("wait");
-        let route = Route::parse(request.method(), &request.url(), wait.as_deref());
+        let head = head(&request);
+        let wait = head.get_param("wait");
+        let route = Route::parse(head.method(), &head.url(), wait.as_deref());
         let name = route.as_ref().map_or("none", Route::name);
-        let hop = self.tracer.hop(name, request.header("traceparent"));
+        let hop = self.tracer.hop(name, head.header("traceparent"));
         let result = match (entered, route) {
             (_, Err(e)) => Err(e),
             (_, Ok(route)) if route.is_local() => Ok(self.local(&route)),
             (Err(closed), Ok(route)) => Err(refusal(closed, &route)),
-            (Ok(()), Ok(route)) => self.handle(request, &route, &hop),
+            (Ok(()), Ok(route)) => self.handle(&mut request, &mut pass, &route, &hop),
         };
         let answer = match result {
             Ok(answer) => answer,
@@ -47,7 +50,10 @@
         };
         hop.set("status", &answer.status);
         self.metrics.request(name, answer.status);
-        answer.into_response(hop.traceparent())
+        if let Err(e) = request.respond(answer.into_response(&hop.traceparent())) {
+            log::debug!("an answer could not be written: {e}");
+        }
+        drop(pass);
     }
 
     fn local(&self, route: &Route) -> Answer {
@@ -61,13 +67,13 @@
         }
     }
 
-    fn handle(&self, request: &Request, route: &Route, hop: &Hop) -> Result<Answer, ApiError> {
+    fn handle(&self, request: &mut Request, pass: &mut Pass, route: &Route, hop: &Hop) -> Result<Answer, ApiError> {
         let bytes = if route.has_body() {
             body::read(request, &self.limits)?
         } else {
             Vec::new()
         };
-        self.gate.admit().map_err(|closed| refusal(closed, route))?;
+        pass.admit().map_err(|closed| refusal(closed, route))?;
         let call = || self.call(route, &bytes, hop);
         // A fault in the handler must cost one request, not the connection: its caller is told that the result is open.
         match catch_unwind(AssertUnwindSafe(call)) {
@@ -131,21 +137,17 @@
     error
 }
 
-/// Leaves a connection whose next body cannot be discarded.
-fn abandon() -> Response {
-    Response {
-        status_code: Code::TooLarge.status(),
-        headers: vec![("Upgrade".into(), "none".into())],
-        data: rouille::ResponseBody::empty(),
-        upgrade: Some(Box::new(Abandoned)),
+/// The request line and the header, for rouille's parsing of them.
+fn head(request: &Request) -> Head {
+    let mut headers = Vec::new();
+    for header in request.headers() {
+        headers.push((header.field.to_string(), header.value.to_string()));
     }
+    Head::fake_http(request.method().as_str(), request.url(), headers, Vec::new())
 }
 
-/// Keeps a socket from being dropped, since dropping it would discard its body.
-struct Abandoned;
-
-impl Upgrade for Abandoned {
-    fn build(&mut self, socket: Box<dyn ReadWrite + Send>) {
-        mem::forget(socket);
-    }
+/// Answers a request whose body cannot be discarded, and keeps its socket: dropping it would discard the body.
+fn abandon(request: Request) {
+    let response = Response::empty(StatusCode(Code::TooLarge.status()));
+    mem::forget(request.upgrade("none", response));
 }
