Measure what an instance costs by the size of its pool

Cause: docs/CAPACITY.md needs slopes. Change: standin measure capacity runs one instance in virtual time at several pool sizes and counts processor time, requests and bytes, and measures one HTTP request; names . and .. are refused, since URLs drop them; an instance takes a ninth of the table's budget until it knows how many are live. Ruled out: a profile of real processes only, since the stand-ins' cost would be in it.

--- a/src/instance/daemon.rs
+++ b/src/instance/daemon.rs
@@ -19,6 +19,8 @@
 
 /// Pause between two steps of a part that has nothing to do.
 const IDLE: Millis = Millis(50);
+/// Live instances assumed until the list was read; the share of the table's budget is by their number.
+const INSTANCES_ASSUMED: usize = 9;
 /// Longest time that a hint waits to be sent.
 const HINT_DELAY: Millis = Millis(5);
 /// Time between two regular messages to the peers.
@@ -76,7 +78,7 @@
             writes: f64::from(config.budget.writes),
             reads: f64::from(config.budget.reads),
         };
-        let table = Arc::new(Limited::new(table, Arc::clone(&clock), budget, 1));
+        let table = Arc::new(Limited::new(table, Arc::clone(&clock), budget, INSTANCES_ASSUMED));
         let objects = HttpObjects::new(config.platform.objects, timeouts(config, times.objects_ms));
         let listing = HttpListing::new(config.platform.list, timeouts(config, times.list_ms));
         let metrics = Arc::new(Metrics::new());
--- a/src/name.rs
+++ b/src/name.rs
@@ -26,6 +26,9 @@
     /// A character outside `a-z A-Z 0-9 . _ -`.
     #[error("a name consists of letters, digits, `.`, `_` and `-`, not of {0:?}")]
     Character(char),
+    /// `.` or `..`, which URLs drop as parts of a path.
+    #[error("`.` and `..` are no names")]
+    Dots,
 }
 
 fn check(text: &str) -> Result<(), NameError> {
--- /dev/null
+++ b/standin/src/measure/capacity/site.rs
@@ -0,0 +1,180 @@
+//! One instance with a full pool.
+
+use std::sync::Arc;
+
+use miette::{IntoDiagnostic, Result, miette};
+use serde_json::{Map, Value, json};
+use yuccaridge::instance::{Core, Parts};
+use yuccaridge::job::{JobRow, Phase};
+use yuccaridge::name::JobId;
+use yuccaridge::plan::Weights;
+use yuccaridge::platform::{ListedWorker, Presence, Table};
+use yuccaridge::row::key;
+use yuccaridge::time::{Clock, Millis};
+
+use super::meter::Meter;
+use crate::fake::{Link, Platform};
+use crate::worker::Worker;
+
+/// Time between two steps; the daemon's threads step as often.
+const TICK: Millis = Millis(50);
+/// Teams in the configuration, as at the target size.
+const TEAMS: usize = 590;
+/// Members of the jobs, in turn.
+const MEMBERS: [u16; 6] = [1, 2, 4, 8, 16, 128];
+/// Work of a job that outlasts the measurement, in milliseconds.
+const LONG_MS: u64 = 4 * 3_600_000;
+
+/// One instance, its meter and its platform.
+#[derive(Debug)]
+pub struct Site {
+    platform: Arc<Platform>,
+    core: Core,
+    /// What the instance asks for.
+    pub meter: Arc<Meter>,
+    submitted: usize,
+}
+
+fn listed(index: u16) -> Result<ListedWorker> {
+    let [high, low] = index.to_be_bytes();
+    Ok(ListedWorker {
+        name: format!("worker-{index}").parse().into_diagnostic()?,
+        address: ([127, 1, high, low], 7000).into(),
+        rack: format!("rack-{}", index / 8).parse().into_diagnostic()?,
+        domain: "d0".parse().into_diagnostic()?,
+        cores: 64,
+        memory_mb: 262_144,
+        accelerators: 2,
+        slots: 8,
+        connections: 60,
+        presence: Presence::Live,
+    })
+}
+
+fn ticket() -> Value {
+    let teams: Map<_, _> = (0..TEAMS)
+        .map(|number| (format!("team-{number}"), json!({ "quota": 1000, "kinds": ["k"] })))
+        .collect();
+    json!({ "objects": { "pool": { "p": { "domains": ["d0"] } }, "kind": { "k": { "class": "batch" } }, "team": teams } })
+}
+
+impl Site {
+    /// An instance that plans one pool with this many workers and no jobs.
+    pub fn start(workers: u16) -> Result<Self> {
+        let platform = Platform::new();
+        for index in 0..workers {
+            platform.add_worker(Worker::new(listed(index)?, 1.0));
+        }
+        let link = Link::new(&platform);
+        let meter = Arc::new(Meter::new(Arc::clone(&link)));
+        let core = Core::new(Parts {
+            instance: "i0".parse().into_diagnostic()?,
+            boot: "1".to_owned(),
+            peer: ([127, 0, 0, 1], 7401).into(),
+            domain: "d0".parse().into_diagnostic()?,
+            weights: Weights::default(),
+            seed: 1,
+            table: Arc::<Meter>::clone(&meter),
+            objects: link,
+            listing: Arc::<Meter>::clone(&meter),
+            workers: Arc::<Meter>::clone(&meter),
+        });
+        let mut site = Self {
+            platform,
+            core,
+            meter,
+            submitted: 0,
+        };
+        site.run_for(Millis::from_secs(1));
+        let body = ticket().to_string();
+        site.core
+            .tickets
+            .put(site.now(), 1, body.as_bytes())
+            .into_diagnostic()?;
+        site.run_for(Millis::from_secs(10));
+        Ok(site)
+    }
+
+    /// Virtual time.
+    pub fn now(&self) -> Millis {
+        self.platform.clock.now()
+    }
+
+    /// Steps for so long.
+    pub fn run_for(&mut self, span: Millis) {
+        let end = self.now() + span;
+        while self.now() < end {
+            self.core.step(self.now());
+            self.platform.clock.advance(TICK);
+        }
+    }
+
+    fn submit(&mut self, members: u16, work_ms: u64) -> Result<JobId> {
+        let id: JobId = format!("job-{}", self.submitted).parse().into_diagnostic()?;
+        // A third of the jobs uses accelerators, of which there are two for each worker and 4.3 tasks.
+        let accelerators = u16::from(members <= 16 && self.submitted.is_multiple_of(3));
+        let shape = json!({ "members": members, "accelerators": accelerators });
+        let body = json!({
+            "team": format!("team-{}", self.submitted % TEAMS), "kind": "k", "class": "batch", "idempotent": true,
+            "run_time_s": work_ms / 1000, "shape": shape, "payload": { "work_ms": work_ms },
+        });
+        self.submitted += 1;
+        let view = self
+            .core
+            .accept
+            .submit(self.now(), &id, body.to_string().as_bytes(), None)
+            .into_diagnostic()?;
+        if let Some(pool) = view.pool {
+            self.core.pools.wake(pool, id.clone());
+        }
+        Ok(id)
+    }
+
+    fn wait_for<F>(&mut self, jobs: &[JobId], f: F) -> Result<()>
+    where
+        F: Fn(&Phase) -> bool,
+    {
+        let keys: Vec<_> = jobs.iter().map(key::job).collect();
+        for _ in 0..600 {
+            self.run_for(Millis::from_secs(1));
+            let rows = self.platform.table.read(&keys).into_diagnostic()?;
+            let rows = rows
+                .into_iter()
+                .flatten()
+                .filter_map(|row| serde_json::from_value::<JobRow>(row.value).ok());
+            if rows.filter(|row| f(&row.phase)).count() == jobs.len() {
+                return Ok(());
+            }
+        }
+        Err(miette!("the jobs did not get as far as they should"))
+    }
+
+    /// Fills the pool until at least this many tasks run; how many do.
+    pub fn fill(&mut self, tasks: usize) -> Result<usize> {
+        let mut jobs = Vec::new();
+        let mut running = 0;
+        let mut turn = 0;
+        while running < tasks {
+            let members = MEMBERS[turn % MEMBERS.len()];
+            turn += 1;
+            if usize::from(members) > tasks - running {
+                continue;
+            }
+            jobs.push(self.submit(members, LONG_MS)?);
+            running += usize::from(members);
+        }
+        self.wait_for(&jobs, |phase| matches!(phase, Phase::Running { .. }))?;
+        // Young attempts are asked more often.
+        self.run_for(Millis::from_secs(30));
+        Ok(running)
+    }
+
+    /// Runs short jobs of one member to their end, one after the other.
+    pub fn churn(&mut self, jobs: usize) -> Result<()> {
+        for _ in 0..jobs {
+            let job = self.submit(1, 500)?;
+            self.wait_for(&[job], |phase| matches!(phase, Phase::Ended { .. }))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/standin/src/measure/capacity/wire.rs
@@ -0,0 +1,119 @@
+//! Cost of one request over HTTP.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::thread;
+
+use cpu_time::ThreadTime;
+use miette::{IntoDiagnostic, Result, miette};
+use serde::Serialize;
+use serde_json::json;
+use yuccaridge::platform::http::{HttpWorkers, Timeouts};
+use yuccaridge::platform::{Action, Batch, Command, ListedWorker, Presence, Workers};
+use yuccaridge::time::{Millis, SystemClock};
+
+use crate::server::WorkerServer;
+
+const REQUESTS: u32 = 500;
+const TASKS: u16 = 4;
+
+/// Cost of one request.
+#[derive(Debug, Clone, Serialize)]
+pub struct Wire {
+    /// Tasks in the report.
+    pub tasks: u16,
+    /// Processor time of the asking thread, in milliseconds.
+    pub cpu_ms: f64,
+    /// Bytes of request and answer, with HTTP headers and without TCP and IP.
+    pub bytes: usize,
+}
+
+fn listed() -> Result<ListedWorker> {
+    Ok(ListedWorker {
+        name: "w".parse().into_diagnostic()?,
+        address: ([127, 0, 0, 1], 0).into(),
+        rack: "r".parse().into_diagnostic()?,
+        domain: "d".parse().into_diagnostic()?,
+        cores: 64,
+        memory_mb: 262_144,
+        accelerators: 2,
+        slots: 8,
+        connections: 60,
+        presence: Presence::Live,
+    })
+}
+
+fn tasks() -> Result<Batch> {
+    let mut commands = Vec::new();
+    for member in 0..TASKS {
+        let prepare = Action::Prepare {
+            kind: "k".parse().into_diagnostic()?,
+            cores: 1,
+            memory_mb: 0,
+            accelerators: Vec::new(),
+            members: TASKS,
+            payload: json!({ "work_ms": 3_600_000 }),
+            checkpoint: None,
+            trace: None,
+        };
+        let job = "job-1".parse().into_diagnostic()?;
+        commands.push(Command {
+            job,
+            attempt: 1,
+            member,
+            action: prepare,
+        });
+    }
+    Ok(Batch {
+        pool: "p".parse().into_diagnostic()?,
+        epoch: 1,
+        boot: None,
+        renew_ms: Some(30_000),
+        commands,
+    })
+}
+
+/// Measures a worker's report.
+pub fn measure() -> Result<Wire> {
+    let server = WorkerServer::start(listed()?, 1.0, SystemClock::start()).into_diagnostic()?;
+    let workers = HttpWorkers::new(Timeouts::default());
+    workers.command(server.address(), &tasks()?).into_diagnostic()?;
+    let start = ThreadTime::now();
+    for _ in 0..REQUESTS {
+        workers.report(server.address()).into_diagnostic()?;
+    }
+    let cpu_ms = start.elapsed().as_secs_f64() * 1000.0 / f64::from(REQUESTS);
+    Ok(Wire {
+        tasks: TASKS,
+        cpu_ms,
+        bytes: bytes(&server)?,
+    })
+}
+
+/// Bytes of one exchange, counted by a relay between the client and the worker.
+fn bytes(server: &WorkerServer) -> Result<usize> {
+    let relay = TcpListener::bind("127.0.0.1:0").into_diagnostic()?;
+    let address = relay.local_addr().into_diagnostic()?;
+    let target = server.address();
+    let counting = thread::spawn(move || -> std::io::Result<usize> {
+        let (mut caller, _) = relay.accept()?;
+        let mut worker = std::net::TcpStream::connect(target)?;
+        worker.set_read_timeout(Some(Millis(200).duration()))?;
+        let mut buffer = vec![0; 65536];
+        let sent = caller.read(&mut buffer)?;
+        worker.write_all(&buffer[..sent])?;
+        let mut received = 0;
+        while let Ok(count @ 1..) = worker.read(&mut buffer) {
+            caller.write_all(&buffer[..count])?;
+            received += count;
+        }
+        Ok(sent + received)
+    });
+    HttpWorkers::new(Timeouts::default())
+        .report(address)
+        .into_diagnostic()?;
+    counting
+        .join()
+        .map_err(|_panic| miette!("the relay panicked"))?
+        .into_diagnostic()
+}
--- a/standin/src/measure/mod.rs
+++ b/standin/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements of the product's decisions, in virtual time and without a network.
 
 mod baseline;
+pub mod capacity;
 mod carry;
 pub mod check;
 mod claim;
@@ -26,6 +27,8 @@
 pub enum Measure {
     /// Compare the product's scheduling policy with baselines on generated traces.
     Policy(policy::PolicyArgs),
+    /// Measure what an instance costs, by the size of the pool that it plans.
+    Capacity(capacity::CapacityArgs),
 }
 
 impl Measure {
@@ -33,6 +36,7 @@
     pub fn run(&self) -> miette::Result<()> {
         match self {
             Self::Policy(args) => args.run(),
+            Self::Capacity(args) => args.run(),
         }
     }
 }
