Share the tests' plain requests and machines

Change: standin::sample has them; the two raw table servers share their answers. No test is removed and none checks less.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod measure;
 pub mod record;
+pub mod sample;
 pub mod script;
 pub mod server;
 pub mod table;
--- /dev/null
+++ b/standin/src/sample.rs
@@ -0,0 +1,105 @@
+//! Plain requests and machines for tests to start from.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde_json::{Value, json};
+use yuccaridge::name::{DomainName, JobId, KindName, PoolName, RackName, TeamName, WorkerName};
+use yuccaridge::platform::{
+    Action, Address, Batch, CallRequest, Check, Command, ListedWorker, OpId, Presence, Put, Step, Txn,
+};
+
+/// An ephemeral port of this machine.
+pub fn loopback() -> Address {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// A live worker with eight accelerators and slots.
+pub fn listed(name: &str) -> ListedWorker {
+    ListedWorker {
+        name: WorkerName::new(name).expect("a name"),
+        address: loopback(),
+        rack: RackName::new("r0").expect("a name"),
+        domain: DomainName::new("d0").expect("a name"),
+        cores: 16,
+        memory_mb: 65_536,
+        accelerators: 8,
+        slots: 8,
+        connections: 60,
+        presence: Presence::Live,
+    }
+}
+
+/// The first attempt of a call.
+pub fn call(job: &str, payload: Value) -> CallRequest {
+    CallRequest {
+        job: JobId::new(job).expect("a name"),
+        attempt: 1,
+        team: TeamName::new("t").expect("a name"),
+        kind: KindName::new("k").expect("a name"),
+        boot: None,
+        deadline_ms: 1000,
+        trace: None,
+        payload,
+    }
+}
+
+/// Prepares and releases a job of one member that runs for ten minutes.
+pub fn start(job: &str) -> Batch {
+    let command = |action| Command {
+        job: JobId::new(job).expect("a name"),
+        attempt: 1,
+        member: 0,
+        action,
+    };
+    let prepare = Action::Prepare {
+        kind: KindName::new("k").expect("a name"),
+        cores: 1,
+        memory_mb: 1,
+        accelerators: vec![0],
+        members: 1,
+        payload: json!({ "work_ms": 600_000 }),
+        checkpoint: None,
+        trace: None,
+    };
+    Batch {
+        pool: PoolName::new("p").expect("a name"),
+        epoch: 1,
+        boot: None,
+        renew_ms: None,
+        commands: vec![command(prepare), command(Action::Release)],
+    }
+}
+
+/// Condition that a row has this version.
+pub fn check(key: &str, version: u64) -> Check {
+    Check {
+        key: key.to_owned(),
+        version,
+    }
+}
+
+/// Writes a row, or removes it.
+pub fn put(key: &str, writes: bool) -> Put {
+    Put {
+        key: key.to_owned(),
+        value: writes.then(|| json!(key)),
+    }
+}
+
+/// Writes a row that must have this version.
+pub fn write(op: &str, key: &str, version: u64) -> Txn {
+    Txn {
+        step: Step::Accept,
+        op: OpId(op.to_owned()),
+        checks: vec![check(key, version)],
+        puts: vec![put(key, true)],
+    }
+}
+
+/// Removes a row that must have this version.
+pub fn remove(op: &str, key: &str, version: u64) -> Txn {
+    Txn {
+        puts: vec![put(key, false)],
+        ..write(op, key, version)
+    }
+}
--- a/standin/tests/fake.rs
+++ b/standin/tests/fake.rs
@@ -1,40 +1,23 @@
 //! The faults that a link injects do what their names say, and nothing else.
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use serde_json::json;
 use standin::fake::{Disorder, Fault, Link, Platform, Side};
 use standin::record::Deed;
+use standin::sample::{self, listed, loopback, start, write};
 use standin::worker::Worker;
-use yuccaridge::name::{DomainName, JobId, KindName, PoolName, RackName, TeamName, WorkerName};
 use yuccaridge::platform::{
-    Action, Address, Batch, CallRequest, Check, Command, ListedWorker, Listing, ObjectError, Objects, OpId, Presence,
-    Put, Refusal, Reply, Step, Table, TableError, TaskState, Txn, WorkerError, Workers,
+    CallRequest, Listing, ObjectError, Objects, Presence, Refusal, Reply, Step, Table, TableError, TaskState,
+    WorkerError, Workers,
 };
 use yuccaridge::time::{Clock, Millis};
 
 const TIMEOUT: Millis = Millis::from_secs(1);
 
-fn address() -> Address {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 1))
-}
-
 fn world() -> (Arc<Platform>, Arc<Link>) {
     let platform = Platform::new();
-    let listed = ListedWorker {
-        name: WorkerName::new("w").unwrap(),
-        address: address(),
-        rack: RackName::new("r").unwrap(),
-        domain: DomainName::new("d").unwrap(),
-        cores: 8,
-        memory_mb: 1024,
-        accelerators: 1,
-        slots: 8,
-        connections: 8,
-        presence: Presence::Live,
-    };
-    platform.add_worker(Worker::new(listed, 1.0));
+    platform.add_worker(Worker::new(listed("w"), 1.0));
     let link = Link::new(&platform);
     (platform, link)
 }
@@ -50,21 +33,6 @@
     });
 }
 
-fn write(op: &str, version: u64) -> Txn {
-    Txn {
-        step: Step::Accept,
-        op: OpId(op.to_owned()),
-        checks: vec![Check {
-            key: "job/1".to_owned(),
-            version,
-        }],
-        puts: vec![Put {
-            key: "job/1".to_owned(),
-            value: Some(json!(op)),
-        }],
-    }
-}
-
 fn writer(platform: &Platform) -> Option<String> {
     let row = platform.table.read(&["job/1".to_owned()]).unwrap().remove(0);
     row.map(|row| row.op.0)
@@ -72,40 +40,8 @@
 
 fn call(work_ms: u64) -> CallRequest {
     CallRequest {
-        job: JobId::new("c1").unwrap(),
         attempt: 2,
-        team: TeamName::new("t").unwrap(),
-        kind: KindName::new("k").unwrap(),
-        boot: None,
-        deadline_ms: TIMEOUT.0,
-        trace: None,
-        payload: json!({ "work_ms": work_ms, "parts": 2 }),
-    }
-}
-
-fn start() -> Batch {
-    let command = |action| Command {
-        job: JobId::new("j1").unwrap(),
-        attempt: 1,
-        member: 0,
-        action,
-    };
-    let prepare = Action::Prepare {
-        trace: None,
-        kind: KindName::new("k").unwrap(),
-        cores: 1,
-        memory_mb: 1,
-        accelerators: vec![0],
-        members: 1,
-        payload: json!({ "work_ms": 600_000 }),
-        checkpoint: None,
-    };
-    Batch {
-        pool: PoolName::new("p").unwrap(),
-        epoch: 1,
-        boot: None,
-        renew_ms: None,
-        commands: vec![command(prepare), command(Action::Release)],
+        ..sample::call("c1", json!({ "work_ms": work_ms, "parts": 2 }))
     }
 }
 
@@ -123,7 +59,7 @@
         }
         Fault::None
     });
-    link.commit(&write("a", 0)).unwrap();
+    link.commit(&write("a", "job/1", 0)).unwrap();
     assert_eq!(platform.clock.now(), Millis::from_secs(5));
 }
 
@@ -132,7 +68,7 @@
 fn delayed_commit_takes_effect_on_delivery() {
     let (platform, link) = world();
     inject(&link, Step::Accept, Side::Before, Fault::Delay);
-    let error = link.commit(&write("a", 0)).unwrap_err();
+    let error = link.commit(&write("a", "job/1", 0)).unwrap_err();
     assert!(matches!(error, TableError::Unknown(_)));
     assert_eq!(writer(&platform), None);
     assert_eq!((link.deliver(), link.deliver()), (1, 0));
@@ -143,8 +79,8 @@
 fn delayed_commit_still_checks_on_delivery() {
     let (platform, link) = world();
     inject(&link, Step::Accept, Side::Before, Fault::Delay);
-    link.commit(&write("a", 0)).unwrap_err();
-    Link::new(&platform).commit(&write("b", 0)).unwrap();
+    link.commit(&write("a", "job/1", 0)).unwrap_err();
+    Link::new(&platform).commit(&write("b", "job/1", 0)).unwrap();
     link.deliver();
     assert_eq!(writer(&platform).as_deref(), Some("b"));
 }
@@ -153,7 +89,7 @@
 fn delayed_commands_are_carried_out_on_delivery() {
     let (platform, link) = world();
     inject(&link, Step::Prepare, Side::Before, Fault::Delay);
-    let error = link.command(address(), &start()).unwrap_err();
+    let error = link.command(loopback(), &start("j1")).unwrap_err();
     assert!(matches!(error, WorkerError::Lost(_)));
     assert_eq!(deeds(&platform), []);
     link.deliver();
@@ -164,9 +100,9 @@
 fn refusal_outruns_a_delayed_call() {
     let (platform, link) = world();
     inject(&link, Step::Send, Side::Before, Fault::Delay);
-    let error = link.call(address(), &call(0), TIMEOUT).unwrap_err();
+    let error = link.call(loopback(), &call(0), TIMEOUT).unwrap_err();
     assert!(!error.is_unstarted());
-    assert_eq!(link.refuse(address(), &call(0).job, 2), Ok(Refusal::Refused));
+    assert_eq!(link.refuse(loopback(), &call(0).job, 2), Ok(Refusal::Refused));
     link.deliver();
     assert_eq!(deeds(&platform), [Deed::Refused]);
 }
@@ -175,7 +111,7 @@
 fn repeated_commands_start_once() {
     let (platform, link) = world();
     inject(&link, Step::Prepare, Side::Before, Fault::Repeat);
-    let replies = link.command(address(), &start()).unwrap();
+    let replies = link.command(loopback(), &start("j1")).unwrap();
     let running = Reply::Task {
         state: TaskState::Running,
     };
@@ -194,7 +130,7 @@
     for (disorder, expected) in expected {
         let (_, link) = world();
         inject(&link, Step::Send, Side::After, Fault::Parts(disorder));
-        let parts = link.call(address(), &call(0), TIMEOUT).unwrap();
+        let parts = link.call(loopback(), &call(0), TIMEOUT).unwrap();
         let found: Vec<_> = parts.iter().map(|part| (part.attempt, part.sequence)).collect();
         assert_eq!(found, expected, "{disorder:?}");
     }
@@ -205,11 +141,11 @@
 fn call_beyond_its_time_is_lost_and_runs_on() {
     let (platform, link) = world();
     let request = call(TIMEOUT.0 + 1);
-    let error = link.call(address(), &request, TIMEOUT).unwrap_err();
+    let error = link.call(loopback(), &request, TIMEOUT).unwrap_err();
     assert!(matches!(error, WorkerError::Lost(_)));
-    assert_eq!(link.refuse(address(), &request.job, 2), Ok(Refusal::Running));
+    assert_eq!(link.refuse(loopback(), &request.job, 2), Ok(Refusal::Running));
     platform.clock.advance(TIMEOUT + TIMEOUT);
-    let refusal = link.refuse(address(), &request.job, 2).unwrap();
+    let refusal = link.refuse(loopback(), &request.job, 2).unwrap();
     assert!(matches!(refusal, Refusal::Ended { .. }));
 }
 
--- a/standin/tests/load.rs
+++ b/standin/tests/load.rs
@@ -2,18 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, Read};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Mutex;
 use std::time::Duration;
 
 use rouille::{Request, Response, ResponseBody};
 use serde_json::{Value, json};
 use standin::load::{DirectSender, FlawSort, HttpSender, Load, LoadReport, Mix, Sort, check_answer};
+use standin::sample::{listed, loopback};
 use standin::server::{Host, WorkerServer};
 use yuccaridge::api::{ApiError, Code};
 use yuccaridge::job::{Class, JobSpec};
-use yuccaridge::name::{DomainName, KindName, RackName, TeamName, WorkerName};
-use yuccaridge::platform::{ListedWorker, Presence};
+use yuccaridge::name::{KindName, TeamName};
 use yuccaridge::time::SystemClock;
 
 const SEED: u64 = 7;
@@ -102,10 +101,6 @@
     Response::json(&json!({ "id": id, "state": "ended", "attempt": 1, "outcome": outcome }))
 }
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
 fn load(calls_share: f64) -> Load {
     Load {
         mix: Mix {
@@ -208,19 +203,7 @@
 /// Guards against times that are cut off: no call can end before its work has.
 #[test]
 fn direct_calls_take_as_long_as_their_work() {
-    let listed = ListedWorker {
-        name: WorkerName::new("w").unwrap(),
-        address: loopback(),
-        rack: RackName::new("r").unwrap(),
-        domain: DomainName::new("d").unwrap(),
-        cores: 1,
-        memory_mb: 1,
-        accelerators: 0,
-        slots: 8,
-        connections: 60,
-        presence: Presence::Live,
-    };
-    let worker = WorkerServer::start(listed, 1.0, SystemClock::start()).unwrap();
+    let worker = WorkerServer::start(listed("w"), 1.0, SystemClock::start()).unwrap();
     let report = load(1.0)
         .run(&DirectSender::new(worker.address(), LONG), |_| {})
         .unwrap();
--- a/standin/tests/server.rs
+++ b/standin/tests/server.rs
@@ -1,22 +1,19 @@
 //! Starting and stopping the servers.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
 
 use rouille::Response;
+use serde_json::Value;
 use standin::record::{Deed, Entry};
+use standin::sample::{call, listed, loopback};
 use standin::server::{Host, PlatformServer, WorkerServer};
-use yuccaridge::name::{DomainName, RackName, WorkerName};
 use yuccaridge::platform::http::{HttpListing, HttpWorkers, Timeouts};
-use yuccaridge::platform::{Listed, ListedWorker, Listing, Presence, Workers};
+use yuccaridge::platform::{Listed, Listing, Presence, Workers};
 use yuccaridge::time::SystemClock;
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
 /// Guards against a stop that waits until nobody asks any more, and against a stopped server that goes on working.
 #[test]
 fn busy_server_stops_and_carries_nothing_out() {
@@ -79,10 +76,9 @@
     let platform = PlatformServer::start(loopback()).unwrap();
     let listing = HttpListing::new(platform.address(), Timeouts::default());
     let send = |method: &str, path: &str, body: &str| control(method, platform.address(), path, body);
-    let worker = r#"{"name":"w1","address":"127.0.0.1:1","rack":"r","domain":"d","cores":1,"memory_mb":1,
-        "accelerators":1,"slots":1,"connections":1,"presence":"live"}"#;
+    let worker = serde_json::to_string(&listed("w1")).unwrap();
     let instance = r#"{"name":"i1","address":"127.0.0.1:2","domain":"d","presence":"live"}"#;
-    assert_eq!(send("POST", "/v1/list/workers", worker), 200);
+    assert_eq!(send("POST", "/v1/list/workers", &worker), 200);
     assert_eq!(send("POST", "/v1/list/instances", instance), 200);
     let leaving = r#"{"workers":{"w1":"leaving"},"instances":{"i1":"leaving"}}"#;
     assert_eq!(send("POST", "/v1/list/presences", leaving), 200);
@@ -112,26 +108,14 @@
 /// Guards against a worker whose boot or record tests in other processes cannot see change.
 #[test]
 fn worker_is_steered_over_http() {
-    let listed = ListedWorker {
-        name: WorkerName::new("w1").unwrap(),
-        address: loopback(),
-        rack: RackName::new("r").unwrap(),
-        domain: DomainName::new("d").unwrap(),
-        cores: 1,
-        memory_mb: 1,
-        accelerators: 1,
-        slots: 1,
-        connections: 1,
-        presence: Presence::Live,
-    };
-    let worker = WorkerServer::start(listed, 1.0, SystemClock::start()).unwrap();
+    let worker = WorkerServer::start(listed("w1"), 1.0, SystemClock::start()).unwrap();
     let workers = HttpWorkers::new(Timeouts::default());
     let send = |method: &str, path: &str, body: &str| control(method, worker.address(), path, body);
     assert_eq!(send("POST", "/v1/restart", ""), 200);
     assert_eq!(workers.report(worker.address()).unwrap().boot, 2);
     assert_eq!(send("POST", "/v1/fails_all", "true"), 200);
-    let call = r#"{"job":"c1","attempt":1,"team":"t","kind":"k","deadline_ms":1000,"payload":{}}"#;
-    assert_eq!(send("POST", "/v1/calls/c1", call), 200);
+    let call = serde_json::to_string(&call("c1", Value::Null)).unwrap();
+    assert_eq!(send("POST", "/v1/calls/c1", &call), 200);
     let record = attohttpc::get(format!("http://{}/v1/record", worker.address()))
         .send()
         .unwrap();
--- a/tests/http/commits.rs
+++ b/tests/http/commits.rs
@@ -4,32 +4,27 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use standin::server::{Injected, Mishap, PlatformServer, Target};
+use standin::sample::{check, put, remove, write};
+use standin::server::{Mishap, PlatformServer, Target};
 use standin::table::MemoryTable;
 use yuccaridge::platform::http::HttpTable;
-use yuccaridge::platform::http::wire::{CommitReply, ReadBody, ReadReply};
-use yuccaridge::platform::{Put, Table, TableError, Txn};
+use yuccaridge::platform::{Table, TableError, Txn};
 use yuccaridge::time::Millis;
 
-use crate::fixture::{check, loopback, refusing, remove, timeouts, write};
-use crate::raw::{RawServer, Received, reply};
+use crate::fixture::{self, fault, refusing, timeouts};
+use crate::raw::{RawServer, Received, reply_commit, reply_read};
 
 fn platform() -> (PlatformServer, HttpTable) {
-    let platform = PlatformServer::start(loopback()).unwrap();
+    let platform = fixture::platform();
     let table = HttpTable::new(platform.address(), timeouts());
     (platform, table)
 }
 
 fn inject(platform: &PlatformServer, target: Target, mishap: Mishap, count: u32) {
-    platform.faults().add(Injected {
-        target,
-        mishap,
-        count: Some(count),
-    });
+    platform.faults().add(fault(target, mishap, count));
 }
 
-/// A table that hands the first transaction to `first` and serves all other requests as it should. The memory table
-/// behind it can be written to by "others" at any moment.
+/// A table that hands the first transaction to `first`, whose answer is lost, and serves all other requests.
 fn flawed<F>(first: F) -> (RawServer, Arc<MemoryTable>, HttpTable)
 where
     F: Fn(&MemoryTable, &Txn, &mut TcpStream) + Send + 'static,
@@ -38,25 +33,14 @@
     let rows = Arc::clone(&memory);
     let commits = AtomicUsize::new(0);
     let server = RawServer::start(move |_, received: Received, stream| {
-        if received.path == "/v1/table/read" {
-            let body: ReadBody = serde_json::from_slice(&received.body).unwrap();
-            let rows = rows.read(&body.keys).unwrap();
-            return reply(stream, 200, &serde_json::to_vec(&ReadReply { rows }).unwrap());
+        if reply_read(stream, &received, &rows) {
+            return;
         }
         let txn: Txn = serde_json::from_slice(&received.body).unwrap();
         if commits.fetch_add(1, Ordering::Relaxed) == 0 {
             return first(&rows, &txn, stream);
         }
-        match rows.commit(&txn) {
-            Ok(version) => reply(stream, 200, &serde_json::to_vec(&CommitReply { version }).unwrap()),
-            Err(TableError::Conflict { key, expected, found }) => {
-                let body = serde_json::json!({
-                    "code": "conflict", "key": key, "expected": expected, "found": found, "message": "changed",
-                });
-                reply(stream, 409, &serde_json::to_vec(&body).unwrap());
-            }
-            Err(error) => panic!("{error}"),
-        }
+        reply_commit(stream, rows.commit(&txn));
     });
     let table = HttpTable::new(server.address, timeouts());
     (server, memory, table)
@@ -211,10 +195,7 @@
     let (_server, memory, table) = flawed(|_, _, _| {});
     let mut txn = write("a", "job/1", 0);
     txn.checks.clear();
-    txn.puts.push(Put {
-        key: "job/2".to_owned(),
-        value: None,
-    });
+    txn.puts.push(put("job/2", false));
     let error = table.commit(&txn).unwrap_err();
     assert!(matches!(error, TableError::Unknown(_)), "{error}");
     assert_eq!(memory.usage().commits, 0);
--- a/tests/http/lists.rs
+++ b/tests/http/lists.rs
@@ -1,15 +1,16 @@
 //! The list.
 
-use standin::server::{Injected, Mishap, PlatformServer, Presences, Target};
+use standin::sample::listed;
+use standin::server::{Mishap, Presences, Target};
 use yuccaridge::name::{DomainName, InstanceName};
 use yuccaridge::platform::http::HttpListing;
 use yuccaridge::platform::{ListedInstance, Listing, Presence};
 
-use crate::fixture::{listed, loopback, refusing, timeouts};
+use crate::fixture::{fault, platform, refusing, timeouts};
 
 #[test]
 fn list_shows_what_was_added_marked_and_removed() {
-    let platform = PlatformServer::start(loopback()).unwrap();
+    let platform = platform();
     let listing = HttpListing::new(platform.address(), timeouts());
     let instance = ListedInstance {
         name: InstanceName::new("i1").unwrap(),
@@ -36,14 +37,10 @@
 /// Guards against an outage being taken for an empty list, which would look like the loss of the whole fleet.
 #[test]
 fn unreadable_list_is_an_error() {
-    let platform = PlatformServer::start(loopback()).unwrap();
+    let platform = platform();
     let listing = HttpListing::new(platform.address(), timeouts());
     for mishap in [Mishap::Outage, Mishap::Cut] {
-        platform.faults().add(Injected {
-            target: Target::List,
-            mishap,
-            count: Some(1),
-        });
+        platform.faults().add(fault(Target::List, mishap, 1));
         listing.list().unwrap_err();
     }
     listing.list().unwrap();
--- a/tests/http/parts.rs
+++ b/tests/http/parts.rs
@@ -5,13 +5,14 @@
 
 use serde_json::json;
 use standin::record::Deed;
-use standin::server::{Injected, Mishap, Target, WorkerServer};
-use yuccaridge::name::{JobId, KindName, PoolName};
+use standin::sample::{call, listed, start};
+use standin::server::{Mishap, Target, WorkerServer};
+use yuccaridge::name::JobId;
 use yuccaridge::platform::http::HttpWorkers;
-use yuccaridge::platform::{Action, Batch, CallPart, Command, Refusal, Reply, TaskState, WorkerError, Workers};
+use yuccaridge::platform::{CallPart, Refusal, Reply, TaskState, WorkerError, Workers};
 use yuccaridge::time::{Millis, SystemClock};
 
-use crate::fixture::{call, listed, refusing, timeouts};
+use crate::fixture::{fault, refusing, timeouts};
 use crate::raw::{RawServer, reply};
 
 /// Limit for calls whose answer comes.
@@ -89,8 +90,10 @@
 fn full_worker_has_not_started_the_call() {
     let (worker, workers) = worker();
     worker.with(|worker, now| {
-        for job in ["a", "b"] {
-            worker.call(now, &call(job, json!({ "work_ms": 60_000 }))).unwrap();
+        for slot in 0..8 {
+            worker
+                .call(now, &call(&format!("s{slot}"), json!({ "work_ms": 60_000 })))
+                .unwrap();
         }
     });
     let error = workers
@@ -106,11 +109,7 @@
     let (worker, workers) = worker();
     let late = Mishap::Late { by: Millis(1500) };
     for (job, mishap) in [("a", Mishap::Lost), ("b", late)] {
-        worker.faults().add(Injected {
-            target: Target::Calls,
-            mishap,
-            count: Some(1),
-        });
+        worker.faults().add(fault(Target::Calls, mishap, 1));
         let error = workers
             .call(worker.address(), &call(job, json!({})), Millis(500))
             .unwrap_err();
@@ -206,34 +205,9 @@
 #[test]
 fn commands_are_repeated_without_harm() {
     let (worker, workers) = worker();
-    let command = |action| Command {
-        job: JobId::new("j1").unwrap(),
-        attempt: 1,
-        member: 0,
-        action,
-    };
-    let prepare = Action::Prepare {
-        trace: None,
-        kind: KindName::new("k").unwrap(),
-        cores: 1,
-        memory_mb: 1,
-        accelerators: vec![0],
-        members: 1,
-        payload: json!({ "work_ms": 600_000 }),
-        checkpoint: None,
-    };
-    let batch = Batch {
-        pool: PoolName::new("p").unwrap(),
-        epoch: 1,
-        boot: Some(1),
-        renew_ms: Some(30_000),
-        commands: vec![command(prepare), command(Action::Release)],
-    };
-    worker.faults().add(Injected {
-        target: Target::Commands,
-        mishap: Mishap::Lost,
-        count: Some(1),
-    });
+    let mut batch = start("j1");
+    batch.boot = Some(1);
+    worker.faults().add(fault(Target::Commands, Mishap::Lost, 1));
     let error = workers.command(worker.address(), &batch).unwrap_err();
     assert!(!error.is_unstarted());
     let replies = workers.command(worker.address(), &batch).unwrap();
@@ -254,13 +228,6 @@
 #[test]
 fn wrong_number_of_replies_leaves_doubt() {
     let (server, workers) = raw(|stream| reply(stream, 200, b"[{\"reply\":\"absent\"}]"));
-    let batch = Batch {
-        pool: PoolName::new("p").unwrap(),
-        epoch: 1,
-        boot: None,
-        renew_ms: None,
-        commands: Vec::new(),
-    };
-    let error = workers.command(server.address, &batch).unwrap_err();
+    let error = workers.command(server.address, &start("j1")).unwrap_err();
     assert!(matches!(error, WorkerError::Lost(_)), "{error}");
 }
--- a/tests/http/raw.rs
+++ b/tests/http/raw.rs
@@ -6,6 +6,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 
+use serde::Serialize;
+use serde_json::json;
+use standin::table::MemoryTable;
+use yuccaridge::platform::http::wire::{CommitReply, ReadBody, ReadReply};
+use yuccaridge::platform::{Table, TableError, Version};
+
 /// A request as received.
 pub struct Received {
     pub path: String,
@@ -84,3 +90,33 @@
     drop(stream.write_all(head.as_bytes()));
     drop(stream.write_all(body));
 }
+
+fn reply_json<B>(stream: &mut TcpStream, status: u16, body: &B)
+where
+    B: Serialize,
+{
+    reply(stream, status, &serde_json::to_vec(body).unwrap());
+}
+
+/// Answers a read; `false` if the request is none.
+pub fn reply_read(stream: &mut TcpStream, received: &Received, table: &MemoryTable) -> bool {
+    if received.path != "/v1/table/read" {
+        return false;
+    }
+    let body: ReadBody = serde_json::from_slice(&received.body).unwrap();
+    let rows = table.read(&body.keys).unwrap();
+    reply_json(stream, 200, &ReadReply { rows });
+    true
+}
+
+/// Answers a commit that had this result.
+pub fn reply_commit(stream: &mut TcpStream, result: Result<Version, TableError>) {
+    match result {
+        Ok(version) => reply_json(stream, 200, &CommitReply { version }),
+        Err(TableError::Conflict { key, expected, found }) => {
+            let body = json!({ "code": "conflict", "key": key, "expected": expected, "found": found, "message": "" });
+            reply_json(stream, 409, &body);
+        }
+        Err(error) => panic!("{error}"),
+    }
+}
--- a/tests/http/reads.rs
+++ b/tests/http/reads.rs
@@ -3,16 +3,17 @@
 use std::io::Write;
 
 use serde_json::json;
-use standin::server::{Injected, Mishap, PlatformServer, Target};
+use standin::sample::write;
+use standin::server::{Mishap, Target};
 use yuccaridge::platform::http::{HttpObjects, HttpTable};
 use yuccaridge::platform::{ObjectError, Objects, Table, TableError};
 
-use crate::fixture::{loopback, refusing, timeouts, write};
+use crate::fixture::{fault, platform, refusing, timeouts};
 use crate::raw::{RawServer, reply};
 
 #[test]
 fn scan_goes_through_all_pages() {
-    let platform = PlatformServer::start(loopback()).unwrap();
+    let platform = platform();
     let table = HttpTable::new(platform.address(), timeouts());
     for number in 0..7 {
         table.commit(&write("a", &format!("job/{number}"), 0)).unwrap();
@@ -74,7 +75,7 @@
 
 #[test]
 fn objects_come_back_as_written() {
-    let platform = PlatformServer::start(loopback()).unwrap();
+    let platform = platform();
     let objects = HttpObjects::new(platform.address(), timeouts());
     // More than 32 KiB makes the server use chunks.
     let bytes: Vec<_> = (0..100_000_u32).map(|number| number as u8).collect();
@@ -106,13 +107,9 @@
 
 #[test]
 fn object_store_out_of_service_is_unavailable() {
-    let platform = PlatformServer::start(loopback()).unwrap();
+    let platform = platform();
     let objects = HttpObjects::new(platform.address(), timeouts());
-    platform.faults().add(Injected {
-        target: Target::Objects,
-        mishap: Mishap::Outage,
-        count: None,
-    });
+    platform.faults().add(fault(Target::Objects, Mishap::Outage, u32::MAX));
     assert!(matches!(objects.put("a", b"x"), Err(ObjectError::Unavailable(_))));
     platform.faults().clear();
     assert_eq!(objects.get("a"), Err(ObjectError::Absent("a".to_owned())));
--- a/tests/http/truth.rs
+++ b/tests/http/truth.rs
@@ -5,14 +5,13 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
+use standin::sample::{check, put, write};
 use standin::table::MemoryTable;
 use yuccaridge::platform::http::HttpTable;
-use yuccaridge::platform::http::wire::{CommitReply, ReadBody, ReadReply};
-use yuccaridge::platform::{Check, Key, OpId, Put, Step, Table, TableError, Txn, Version};
+use yuccaridge::platform::{Key, Table, TableError, Txn, Version};
 
 use crate::fixture::timeouts;
-use crate::raw::{RawServer, Received, reply};
+use crate::raw::{RawServer, Received, reply_commit, reply_read};
 
 const SEED: u64 = 0x7a81e;
 const CASES: u64 = 400;
@@ -67,10 +66,8 @@
 fn answer(case: &Mutex<Option<Case>>, received: &Received, stream: &mut TcpStream) {
     let mut case = case.lock().unwrap();
     let case = case.as_mut().unwrap();
-    if received.path == "/v1/table/read" {
-        let body: ReadBody = serde_json::from_slice(&received.body).unwrap();
-        let rows = case.table.read(&body.keys).unwrap();
-        return reply(stream, 200, &serde_json::to_vec(&ReadReply { rows }).unwrap());
+    if reply_read(stream, received, &case.table) {
+        return;
     }
     let txn: Txn = serde_json::from_slice(&received.body).unwrap();
     case.copies += 1;
@@ -83,21 +80,15 @@
     for other in &case.meanwhile {
         case.table.commit(other).unwrap();
     }
-    match case.apply(&txn) {
-        Ok(version) => reply(stream, 200, &serde_json::to_vec(&CommitReply { version }).unwrap()),
-        Err(TableError::Conflict { key, expected, found }) => {
-            let body =
-                json!({ "code": "conflict", "key": key, "expected": expected, "found": found, "message": "changed" });
-            reply(stream, 409, &serde_json::to_vec(&body).unwrap());
-        }
-        Err(error) => panic!("{error}"),
-    }
+    reply_commit(stream, case.apply(&txn));
 }
 
-fn put(key: &str, value: bool) -> Put {
-    Put {
-        key: key.to_owned(),
-        value: value.then(|| json!(1)),
+/// A transaction that changes and checks nothing yet.
+fn empty(op: &str) -> Txn {
+    Txn {
+        checks: Vec::new(),
+        puts: Vec::new(),
+        ..write(op, "a", 0)
     }
 }
 
@@ -106,10 +97,8 @@
     // Others remove only rows that were there before: the documented gap is a row that is created and removed again.
     let removes = existing.iter().any(|name| name == key) && random.random_bool(0.4);
     Txn {
-        step: Step::Accept,
-        op: OpId("other".to_owned()),
-        checks: Vec::new(),
         puts: vec![put(key, !removes)],
+        ..empty("other")
     }
 }
 
@@ -117,12 +106,7 @@
 fn draw(random: &mut SmallRng) -> (Case, Txn) {
     let table = MemoryTable::default();
     let mut existing = Vec::new();
-    let mut txn = Txn {
-        step: Step::Accept,
-        op: OpId("ours".to_owned()),
-        checks: Vec::new(),
-        puts: Vec::new(),
-    };
+    let mut txn = empty("ours");
     for key in KEYS {
         let mut version = 0;
         if random.random_bool(0.6) {
@@ -132,8 +116,7 @@
             existing.push(key.to_owned());
         }
         if random.random_bool(0.7) {
-            let key = key.to_owned();
-            txn.checks.push(Check { key, version });
+            txn.checks.push(check(key, version));
         }
         if random.random_bool(0.5) {
             txn.puts.push(put(key, random.random_bool(0.7)));
