Tell when a hint was read

Cause: hints wait in the owner's channel while the process is paused, and then pass for fresh ones. Change: peer::Event carries the time at which it was read, and Event::age. Ruled out: a time from the sender, since clocks of two machines are never compared. Conclusion: the owner can drop old hints; instance does not use it yet.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use crate::name::{InstanceName, JobId, PoolName, WorkerName};
 
@@ -49,6 +50,15 @@
     pub from: Hello,
     /// What.
     pub message: Message,
+    /// When it was read from the connection.
+    pub read: Instant,
+}
+
+impl Event {
+    /// Time since it was read. A process that was paused finds old events in its channel.
+    pub fn age(&self) -> Duration {
+        self.read.elapsed()
+    }
 }
 
 /// Who gets a message.
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -1,5 +1,8 @@
 //! Frames as protobuf.
 
+use std::collections::BTreeMap;
+use std::time::Instant;
+
 use prost::{Message as _, Oneof};
 
 use super::{Event, FrameError, Head, Hello, Message};
@@ -141,7 +144,7 @@
         }),
         Some(Body::Ended(ended)) => Decoded::Message(Message::Ended(JobId::new(ended.job)?)),
         Some(Body::Load(load)) => {
-            let mut workers = std::collections::BTreeMap::new();
+            let mut workers = BTreeMap::new();
             for entry in load.workers {
                 workers.insert(WorkerName::new(entry.worker)?, entry.calls);
             }
@@ -166,6 +169,7 @@
             Self::Message(message) => Ok(Event {
                 from: sender.clone(),
                 message,
+                read: Instant::now(),
             }),
         }
     }
