--- a/standin/src/measure/mod.rs
+++ b/standin/src/measure/mod.rs
@@ -16,6 +16,7 @@
 mod progress;
 pub mod replay;
 mod report;
+mod routing;
 pub mod scenario;
 pub mod target;
 pub mod trace;
@@ -29,6 +30,8 @@
     Policy(policy::PolicyArgs),
     /// Measure what an instance costs, by the size of the pool that it plans.
     Capacity(capacity::CapacityArgs),
+    /// Compare ways to route calls.
+    Route(routing::RouteArgs),
 }
 
 impl Measure {
@@ -37,6 +40,10 @@
         match self {
             Self::Policy(args) => args.run(),
             Self::Capacity(args) => args.run(),
+            Self::Route(args) => {
+                args.run();
+                Ok(())
+            }
         }
     }
 }
