Stop smaller borrowers for waiting gangs; keep rack cells whole

Cause: a reservation could lie hours ahead while 100 accelerators stood free; rack cells moved to scattered accelerators could not be claimed by gangs of whole workers; three broken workers of 24 exceeded the quarantine limit. Change: a gang that has waited 10 s claims places at once by stopping smaller borrowers (StopReason::Gang); reservations are planned anew every 30 s; rack cells take whole workers where they can; jobs do not return to a worker on which they failed. Ruled out: letting jobs of 4 accelerators do the same, which doubled the stops in the burst trace (2,897) and its mean wait.

--- a/src/plan/cells.rs
+++ b/src/plan/cells.rs
@@ -165,7 +165,7 @@
         let size = self.list[index].size;
         let pieces = match self.list[index].level {
             Level::Worker => spot(fleet, size).map(|piece| vec![piece]),
-            Level::Rack => rack_spot(fleet, size, Worker::spare),
+            Level::Rack => rack_spot(fleet, size, unbroken).or_else(|| rack_spot(fleet, size, Worker::spare)),
         };
         let Some(pieces) = pieces else {
             return false;
@@ -242,6 +242,15 @@
         cell.size.saturating_sub(taken)
     }
 
+    /// Members with this many accelerators that a cell can hold.
+    pub(super) fn members(&self, index: usize, accelerators: u16) -> u32 {
+        let mut members = 0;
+        for piece in &self.list[index].pieces {
+            members += piece.mask.count_ones() / u32::from(accelerators.max(1));
+        }
+        members
+    }
+
     /// Whether a cell is whole and on usable workers.
     pub(super) fn sound(&self, fleet: &Fleet, index: usize) -> bool {
         let cell = &self.list[index];
@@ -271,6 +280,11 @@
     second
 }
 
+/// A worker's accelerators if all of them can become part of a cell; members of a gang often need whole workers.
+pub(super) fn unbroken(worker: &Worker) -> u64 {
+    if worker.spare() == worker.mask { worker.mask } else { 0 }
+}
+
 /// Best-fitting place in one rack, made of the accelerators that `allowed` returns.
 pub(super) fn rack_spot<F>(fleet: &Fleet, size: u32, allowed: F) -> Option<Vec<Piece>>
 where
--- a/src/plan/decide.rs
+++ b/src/plan/decide.rs
@@ -18,10 +18,14 @@
 const AGED_MAX: usize = 64;
 /// A gang that has waited this long gets a reservation, or reclaims inside its team's guarantee.
 const RESERVE_AFTER: Millis = Millis::from_secs(10);
+/// A reservation is planned anew after this time, since jobs end earlier or later than expected.
+const REPLAN: Millis = Millis::from_secs(30);
+/// Gangs looked at for places that they can have at once.
+const GANGS_MAX: usize = 4;
 /// Time between two attempts to make a reservation, which cost more than all else in a decision.
 const RESERVE_PAUSE: Millis = Millis::from_secs(1);
 /// Accelerators from which on a job counts as large.
-const LARGE: u32 = 4;
+const LARGE: u32 = 8;
 /// Jobs looked at to find the oldest large gang.
 const CANDIDATES_MAX: usize = 256;
 /// A shape is given up only when no worker has joined for this long, since a new planner hears of workers one by one.
@@ -38,7 +42,7 @@
 }
 
 fn is_large(job: &QueuedJob) -> bool {
-    job.shape.members > 1 || u32::from(job.shape.accelerators) >= LARGE
+    job.shape.total_accelerators() >= LARGE
 }
 
 impl Policy for Scheduler {
@@ -247,27 +251,43 @@
                 self.drop_reservation();
             } else if let Some(seats) = self.find_anywhere(now, &job) {
                 self.place(now, &job.id, seats, false, out);
-            } else {
-                return;
+            } else if now.since(held.made) >= REPLAN {
+                self.drop_reservation();
+                self.reserve(now, &job);
             }
         }
         if now.since(self.sought) < RESERVE_PAUSE {
             return;
         }
-        let mut next = None;
+        self.sought = now;
+        let waiting = self.due_gangs(now);
+        for job in &waiting {
+            if is_large(job) && self.seize(now, job, out) {
+                return;
+            }
+        }
+        if let (Some(job), None) = (waiting.first(), &self.reservation) {
+            self.reserve(now, job);
+        }
+    }
+
+    /// The oldest gangs that have waited long enough, and other jobs that have aged.
+    fn due_gangs(&self, now: Millis) -> Vec<QueuedJob> {
+        let mut due = Vec::new();
         for (since, id) in self.order.oldest().take(CANDIDATES_MAX) {
             let job = &self.jobs[id].job;
             let waited = now.since(*since);
-            let due = waited >= AGING || (is_large(job) && waited >= RESERVE_AFTER);
-            if due && flexible(job) && self.order.within_quota(job) && self.order.has_failed_anywhere(job) {
-                next = Some(job.clone());
+            let old = waited >= AGING || (is_large(job) && waited >= RESERVE_AFTER);
+            let reserved = self.reservation.as_ref().is_some_and(|held| held.job == *id);
+            if !old || reserved || !flexible(job) || !self.order.within_quota(job) {
+                continue;
+            }
+            due.push(job.clone());
+            if due.len() >= GANGS_MAX {
                 break;
             }
         }
-        if let Some(job) = next {
-            self.sought = now;
-            self.reserve(now, &job);
-        }
+        due
     }
 
     /// Gives one small job that may fail to each quarantined worker that is due for a probe.
--- a/src/plan/decision.rs
+++ b/src/plan/decision.rs
@@ -13,6 +13,11 @@
     },
     /// It was backfilled before a reservation and has overrun.
     Overrun,
+    /// A larger gang that has waited needs its place.
+    Gang {
+        /// The gang.
+        job: JobId,
+    },
     /// Its worker is leaving or quarantined.
     Evict,
 }
--- a/src/plan/reclaim.rs
+++ b/src/plan/reclaim.rs
@@ -5,7 +5,7 @@
 use super::book::{Claim, Stage};
 use super::place::{self, Offer};
 use super::worker::{Task, Worker};
-use super::{Decision, QueuedJob, Scheduler, StopReason, cell};
+use super::{Decision, QueuedJob, Scheduler, StopReason, cell, cells};
 use crate::job::{Seat, Shape};
 use crate::name::{JobId, TeamName};
 use crate::team::Level;
@@ -93,14 +93,22 @@
             }
             let cell = self.cells.cell(index);
             let size = cell.size;
-            if cell.level != Level::Worker || size < u32::from(job.shape.accelerators) {
+            if self.cells.used(&self.fleet, index) {
                 continue;
             }
-            if self.cells.used(&self.fleet, index) {
+            if cell.level == Level::Rack {
+                let needed = u32::from(job.shape.members).min(size / u32::from(job.shape.accelerators));
+                if self.cells.members(index, job.shape.accelerators) < needed {
+                    self.straighten(index, size);
+                }
+                found += size;
+                continue;
+            }
+            if size < u32::from(job.shape.accelerators) {
                 continue;
             }
             let place_cost = |worker: &Worker, mask: u64| {
-                if worker.paused > now || mask & (worker.claimed | worker.firm) != 0 {
+                if self.avoids(now, worker, job) || mask & (worker.claimed | worker.firm) != 0 {
                     return None;
                 }
                 let need = size.min(job.shape.total_accelerators());
@@ -113,12 +121,19 @@
         }
     }
 
+    /// Moves an unused cell of a rack to whole workers, if there are enough.
+    fn straighten(&mut self, index: usize, size: u32) {
+        let pieces = self.cells.lift(&mut self.fleet, index);
+        let found = cells::rack_spot(&self.fleet, size, cells::unbroken);
+        self.cells.lay(&mut self.fleet, index, &found.unwrap_or(pieces));
+    }
+
     /// Seats inside the guarantee, counting what borrowers hold as free.
     fn reclaimable(&self, now: Millis, job: &QueuedJob) -> Option<Vec<Seat>> {
         let mut offers = Vec::new();
         for (index, own) in self.cells.own(&job.team) {
             let worker = self.fleet.worker(index);
-            if !worker.usable() || worker.paused > now {
+            if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
             let free = own & worker.mask & !worker.firm & !worker.claimed;
@@ -175,7 +190,7 @@
             return false;
         }
         for victim in victims {
-            self.stop(&victim, reason, out);
+            self.stop(now, &victim, reason, out);
         }
         for seat in &claim.seats {
             let index = self.fleet.enter(&seat.worker);
@@ -192,22 +207,21 @@
     }
 
     /// Tells a job to stop, once.
-    pub(super) fn stop(&mut self, id: &JobId, reason: &StopReason, out: &mut Vec<Decision>) {
+    fn stop(&mut self, now: Millis, id: &JobId, reason: &StopReason, out: &mut Vec<Decision>) {
         let Some(held) = self.jobs.get(id).and_then(|entry| entry.held()) else {
             return;
         };
         let first = held.seats.first().and_then(|seat| self.fleet.index(&seat.worker));
-        let told = first.is_some_and(|index| {
-            let tasks = &self.fleet.worker(index).tasks;
-            tasks.iter().any(|task| task.job == *id && task.stopping)
-        });
-        if told {
+        let tasks = first.map_or(&[][..], |index| &self.fleet.worker(index).tasks);
+        let Some(task) = tasks.iter().find(|task| task.job == *id && !task.stopping) else {
             return;
-        }
+        };
+        let overrun = task.end <= now && matches!(reason, StopReason::Gang { .. });
+        let reason = if overrun { StopReason::Overrun } else { reason.clone() };
         self.fleet.change(id, &held.seats, |task| task.stopping = true);
         out.push(Decision::Stop {
             job: id.clone(),
-            reason: reason.clone(),
+            reason,
         });
     }
 
--- a/src/plan/reserve.rs
+++ b/src/plan/reserve.rs
@@ -20,6 +20,10 @@
 
 /// A borrower is stopped for a gang only if it is smaller by this factor, so that gangs do not stop each other in turn.
 const SMALLER: u32 = 2;
+/// One that cannot resume, by this factor, since it loses its work.
+const MUCH_SMALLER: u32 = 8;
+/// The gang has to have waited this long for that.
+const PATIENCE: Millis = Millis::from_secs(120);
 /// A borrower that checkpoints runs at least this long before it is stopped for a gang.
 const RUN_MIN: Millis = Millis::from_secs(120);
 /// Times that are looked at for a reservation; a finer grain is lost in the error of the estimates.
@@ -32,6 +36,8 @@
     pub job: JobId,
     /// When the seats are expected to be free.
     pub at: Millis,
+    /// When it was made.
+    pub made: Millis,
     seats: Vec<Seat>,
     workers: BTreeMap<usize, u64>,
 }
@@ -70,7 +76,7 @@
         let Some(&at) = low.checked_sub(1).and_then(|index| ends.get(index)) else {
             return;
         };
-        let Some(seats) = self.offers_at(now, job, at) else {
+        let Some(seats) = self.seats_at(now, job, at) else {
             return;
         };
         let mut workers = BTreeMap::<usize, (u64, Load)>::new();
@@ -87,6 +93,7 @@
         self.reservation = Some(Reservation {
             job: job.id.clone(),
             at,
+            made: now,
             seats,
             workers: masks,
         });
@@ -97,12 +104,12 @@
     fn fits_at(&self, now: Millis, job: &QueuedJob, at: Millis) -> bool {
         let mut groups = BTreeMap::<usize, u64>::new();
         for (index, worker) in self.fleet.workers().iter().enumerate() {
-            if !worker.usable() {
+            if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
             let gone = |task: &Task| vacated(now, job, task) <= at;
             let members = worker.members_without(&job.shape, worker.free(), gone);
-            if members == 0 {
+            if members == 0 || self.is_kept(worker, job) {
                 continue;
             }
             let total = groups
@@ -116,16 +123,35 @@
         false
     }
 
+    /// Claims seats for a gang that it can have at once by stopping smaller borrowers; `false` if there are none.
+    pub(super) fn seize(&mut self, now: Millis, job: &QueuedJob, out: &mut Vec<Decision>) -> bool {
+        if !self.fits_at(now, job, now) {
+            return false;
+        }
+        let Some(seats) = self.seats_at(now, job, now) else {
+            return false;
+        };
+        let reason = StopReason::Gang { job: job.id.clone() };
+        let claim = Claim { seats, firm: false };
+        self.claim(now, job, claim, &reason, out)
+    }
+
+    /// Whether a worker is kept for another job's reservation.
+    fn is_kept(&self, worker: &Worker, job: &QueuedJob) -> bool {
+        let other = self.reservation.as_ref().is_some_and(|held| held.job != job.id);
+        other && (worker.kept != 0 || worker.kept_load.slots != 0)
+    }
+
     /// Seats that a job could have at a time, if all goes as expected.
-    fn offers_at(&self, now: Millis, job: &QueuedJob, at: Millis) -> Option<Vec<Seat>> {
+    fn seats_at(&self, now: Millis, job: &QueuedJob, at: Millis) -> Option<Vec<Seat>> {
         let mut offers = Vec::new();
         for (index, worker) in self.fleet.workers().iter().enumerate() {
-            if !worker.usable() {
+            if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
             let gone = |task: &Task| vacated(now, job, task) <= at;
             let members = worker.members_without(&job.shape, worker.free(), gone);
-            if members == 0 {
+            if members == 0 || self.is_kept(worker, job) {
                 continue;
             }
             let mut free = worker.free();
@@ -178,7 +204,8 @@
             return;
         }
         let claim = Claim { seats, firm: false };
-        if !self.claim(now, &job, claim, &StopReason::Overrun, out) {
+        let reason = StopReason::Gang { job: id };
+        if !self.claim(now, &job, claim, &reason, out) {
             self.reserve(now, &job);
         }
     }
@@ -190,9 +217,13 @@
     if task.firm && task.end <= now {
         return now + OVERRUN_GUESS;
     }
-    let smaller = task.shape.total_accelerators() * SMALLER <= gang.shape.total_accelerators();
-    if !task.firm && task.checkpoints && smaller {
-        return task.end.min(task.started + RUN_MIN).max(now);
+    let (task_size, gang_size) = (task.shape.total_accelerators(), gang.shape.total_accelerators());
+    let mut end = task.end;
+    if !task.firm && task.checkpoints && task_size * SMALLER <= gang_size {
+        end = end.min(task.started + RUN_MIN);
+    }
+    if !task.firm && !task.restarted && task_size * MUCH_SMALLER <= gang_size {
+        end = end.min(gang.since + PATIENCE);
     }
-    task.end.max(now)
+    end.max(now)
 }
--- a/src/plan/scheduler.rs
+++ b/src/plan/scheduler.rs
@@ -20,10 +20,13 @@
 const REFUSAL_PAUSE: Millis = Millis::from_secs(2);
 /// A job whose placement was not carried out waits this long.
 const UNPLACED_PAUSE: Millis = Millis(200);
+/// Attempts after which a job that cannot resume is no longer stopped for a gang, so that it ends some day.
+const RESTARTS_MAX: u32 = 2;
 /// Weight of the expected run time against the time waited in the order inside a team.
 const SHORT_FIRST: f64 = 4.0;
-/// Most workers in quarantine, as a divisor of the fleet; beyond that the fault is unlikely to lie with the workers.
-const QUARANTINE_DIVISOR: usize = 10;
+/// Most workers in quarantine, as a divisor of the fleet; beyond that the fault is unlikely to lie with the workers. A
+/// tenth was too few: with 3 broken workers of 24 the third failed jobs for ever.
+const QUARANTINE_DIVISOR: usize = 5;
 
 /// One guaranteed set and the accelerators set aside for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -286,6 +289,7 @@
                 firm,
                 shape: job.shape,
                 checkpoints: job.checkpoints,
+                restarted: job.attempt >= RESTARTS_MAX,
                 started: now,
                 end: now + bound,
                 stopping: false,
--- a/src/plan/search.rs
+++ b/src/plan/search.rs
@@ -20,8 +20,9 @@
 const KEPT_COST: f64 = 0.5;
 /// Cost of using a worker with accelerators for members that need none.
 const WASTE_COST: f64 = 2.0;
-/// Cost of a worker on which the job has failed; other workers tell whether the job or the worker is to blame.
-const FAILED_COST: f64 = 100.0;
+/// In a fleet of this many workers a job does not return to one on which it failed: a broken worker is always free and
+/// would get it again, and other workers tell whether the job or the worker is to blame.
+const AVOID_FROM: usize = 8;
 /// Part of the fragmentation score that concerns the worker; the rest concerns its rack.
 const WORKER_PART: f64 = 0.7;
 
@@ -48,12 +49,17 @@
             let around = f64::from(rack.free) / f64::from(rack.total.max(1));
             cost += self.weights.fragmentation * (WORKER_PART * inside + (1.0 - WORKER_PART) * around);
         }
-        if self.health.has_failed(&job.id) && self.health.failed_on(&job.id, &worker.spec.name) {
-            cost += FAILED_COST;
-        }
         cost
     }
 
+    /// Whether a worker takes no new member of a job now.
+    pub(super) fn avoids(&self, now: Millis, worker: &Worker, job: &QueuedJob) -> bool {
+        worker.paused > now
+            || (self.health.has_failed(&job.id)
+                && self.fleet.workers().len() >= AVOID_FROM
+                && self.health.failed_on(&job.id, &worker.spec.name))
+    }
+
     /// Whether a job may use what is kept for a reservation: it ends before, or can be preempted with a checkpoint.
     fn may_use_kept(&self, now: Millis, job: &QueuedJob, firm: bool) -> bool {
         let Some(held) = &self.reservation else {
@@ -74,7 +80,7 @@
         let want = if whole { u64::from(shape.members) } else { 1 };
         let mut offers = Vec::new();
         for (index, worker) in self.fleet.with_free(u32::from(shape.accelerators)) {
-            if worker.paused > now {
+            if self.avoids(now, worker, job) {
                 continue;
             }
             let mut free = worker.free() & !worker.cells;
@@ -136,7 +142,7 @@
         let mut offers = Vec::new();
         for (index, own) in self.cells.own(&job.team) {
             let worker = self.fleet.worker(index);
-            if !worker.usable() || worker.paused > now {
+            if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
             let mut free = worker.free() & own;
@@ -171,7 +177,7 @@
         for (index, worker) in self.fleet.with_free(0) {
             let own = own.get(&index).copied().unwrap_or(0);
             // A job that could borrow stays off other teams' workers; one that cannot takes what no cell needs.
-            if worker.paused > now || (flexible(job) && own == 0) {
+            if self.avoids(now, worker, job) || (flexible(job) && own == 0) {
                 continue;
             }
             let members = if kept {
@@ -216,7 +222,7 @@
                 Level::Worker if size < u32::from(job.shape.accelerators) => continue,
                 Level::Worker => {
                     let free_cost = |worker: &Worker, mask: u64| {
-                        let fits = worker.paused <= now && mask & !usable(worker) == 0;
+                        let fits = !self.avoids(now, worker, job) && mask & !usable(worker) == 0;
                         let members = worker.members(&job.shape, mask);
                         (fits && members > 0).then(|| self.cost(worker, job, members))
                     };
@@ -248,7 +254,13 @@
             return;
         }
         let pieces = self.cells.lift(&mut self.fleet, index);
-        let found = cells::rack_spot(&self.fleet, size, |worker| worker.spare() & usable(worker));
+        let found = cells::rack_spot(&self.fleet, size, |worker| {
+            if usable(worker) == worker.mask {
+                cells::unbroken(worker)
+            } else {
+                0
+            }
+        });
         self.cells.lay(&mut self.fleet, index, &found.unwrap_or(pieces));
     }
 
--- a/src/plan/worker.rs
+++ b/src/plan/worker.rs
@@ -7,6 +7,10 @@
 
 /// A member that holds a place.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent properties of a job, read together"
+)]
 pub(super) struct Task {
     /// Its job.
     pub job: JobId,
@@ -20,6 +24,8 @@
     pub shape: Shape,
     /// Whether the job can resume.
     pub checkpoints: bool,
+    /// Whether the job has been started so often that it is not to be stopped for a gang.
+    pub restarted: bool,
     /// When the job started, or was placed.
     pub started: Millis,
     /// When the job is expected to have ended.
