--- a/standin/src/load/direct_sender.rs
+++ b/standin/src/load/direct_sender.rs
@@ -34,6 +34,7 @@
     fn send(&self, request: &Request, _: Instant) -> Ending {
         let ending = Ending::default();
         let call = CallRequest {
+            boot: None,
             job: request.id.clone(),
             attempt: 1,
             team: request.spec.team.clone(),
@@ -49,9 +50,14 @@
                 ending.judge(request, &Outcome::Completed { answer })
             }
             Err(WorkerError::Lost(reason)) => ending.missing(reason),
-            Err(WorkerError::Full) => ending.named("refused: full"),
-            Err(WorkerError::Refused) => ending.named("refused: refused"),
-            Err(WorkerError::Unreached(_)) => ending.named("refused: unreached"),
+            Err(error) => {
+                let code = match &error {
+                    WorkerError::Full => "full",
+                    WorkerError::Refused => "refused",
+                    _ => "unreached",
+                };
+                ending.refused(code, error.to_string())
+            }
         }
     }
 }
--- a/tests/http/main.rs
+++ b/tests/http/main.rs
@@ -3,6 +3,8 @@
 mod commits;
 mod fixture;
 mod lists;
+mod page;
 mod parts;
 mod raw;
 mod reads;
+mod truth;
