Show that the checker of the fault matrix can fail

Cause: a checker that has only been seen to pass proves little.

Change: evidence written by hand breaks each promise once, and seven worlds lack one mechanism each. The switches are in the stand-ins: a worker that ignores epochs, forgets refusals, or starts at once; a table that does not check some keys; a link that says of held back writes that they took effect; in the world, a drain that does not wait.

Conclusion: no world lacks the invariant of guarantees, which has no switch outside the library; `tests/plan/invariant.rs` tests it. A promise to leaving workers, the whole answer and the end of accepted jobs are shown by evidence written by hand only.

--- a/standin/src/fake.rs
+++ b/standin/src/fake.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use yuccaridge::name::{JobId, WorkerName};
@@ -115,6 +115,10 @@
     hook: Mutex<Hook>,
     delayed: Mutex<Vec<Delayed>>,
     list: Mutex<Option<Listed>>,
+    /// Whether it says of held back writes that they took effect.
+    claims: AtomicBool,
+    /// The last write that was held back.
+    claimed: Mutex<Option<Txn>>,
 }
 
 impl fmt::Debug for Link {
@@ -131,6 +135,8 @@
             hook: Mutex::new(Arc::new(|_| Fault::None)),
             delayed: Mutex::new(Vec::new()),
             list: Mutex::new(None),
+            claims: AtomicBool::new(false),
+            claimed: Mutex::new(None),
         })
     }
 
@@ -148,6 +154,33 @@
         *self.list.lock().unwrap_or_else(PoisonError::into_inner) = list;
     }
 
+    /// Names the operation of each held back write in the rows that it would have changed, so that a checker can be shown
+    /// to notice.
+    pub fn claim_writes(&self) {
+        self.claims.store(true, Ordering::Relaxed);
+    }
+
+    fn claim(&self, request: Option<&Delayed>) {
+        if let Some(Delayed::Commit(txn)) = request {
+            *self.claimed.lock().unwrap_or_else(PoisonError::into_inner) = Some(txn.clone());
+        }
+    }
+
+    /// Rows as the link shows them.
+    fn shown(&self, mut rows: Vec<Option<Row>>) -> Vec<Option<Row>> {
+        if !self.claims.load(Ordering::Relaxed) {
+            return rows;
+        }
+        let claimed = self.claimed.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(txn) = claimed.as_ref() else { return rows };
+        for row in rows.iter_mut().flatten() {
+            if txn.puts.iter().any(|put| put.key == row.key) {
+                row.op = txn.op.clone();
+            }
+        }
+        rows
+    }
+
     /// Lets the requests that were held back take effect, in the order in which they were sent; their number. Nobody
     /// hears their answers.
     pub fn deliver(&self) -> usize {
@@ -189,6 +222,7 @@
         match self.ask(step, Side::Before, None) {
             Fault::Cut => return Err(TableError::Unavailable("cut".to_owned())),
             Fault::Delay => {
+                self.claim(delayed.as_ref());
                 self.hold_back(delayed);
                 return Err(TableError::Unknown("delayed".to_owned()));
             }
@@ -253,6 +287,7 @@
 impl Table for Link {
     fn read(&self, keys: &[Key]) -> Result<Vec<Option<Row>>, TableError> {
         self.table_request(Step::Read, None, |table| table.read(keys))
+            .map(|rows| self.shown(rows))
     }
 
     fn scan(&self, prefix: &str, after: Option<&str>, limit: usize) -> Result<Page, TableError> {
--- /dev/null
+++ b/standin/src/flaws.rs
@@ -0,0 +1,12 @@
+//! Mechanisms that can be taken away from a worker.
+
+/// Mechanisms that a worker lacks, so that a checker can be shown to notice.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Flaws {
+    /// Carries out commands of any epoch.
+    pub ignores_epochs: bool,
+    /// Refuses, but keeps no record of it and starts late copies.
+    pub forgets_refusals: bool,
+    /// Starts a task when it is prepared, without waiting for its release.
+    pub starts_held: bool,
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fake;
 pub mod fault;
+pub mod flaws;
 pub mod load;
 pub mod measure;
 pub mod record;
--- a/standin/src/table.rs
+++ b/standin/src/table.rs
@@ -22,6 +22,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Checks of keys with this prefix always hold.
+    unchecked: Option<String>,
     rows: BTreeMap<Key, Row>,
     version: Version,
     usage: Usage,
@@ -36,6 +38,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lets all checks of keys with this prefix hold from now on, so that a checker can be shown to notice.
+    pub fn set_unchecked(&self, prefix: Option<String>) {
+        self.state().unchecked = prefix;
+    }
+
     /// What the table was asked for so far.
     pub fn usage(&self) -> Usage {
         self.state().usage
@@ -73,6 +80,11 @@
     fn commit(&self, txn: &Txn) -> Result<Version, TableError> {
         let mut state = self.state();
         for check in &txn.checks {
+            if let Some(prefix) = &state.unchecked
+                && check.key.starts_with(prefix)
+            {
+                continue;
+            }
             let found = state.rows.get(&check.key).map_or(0, |row| row.version);
             if found != check.version {
                 state.usage.conflicts += 1;
--- /dev/null
+++ b/tests/faults/broken.rs
@@ -0,0 +1,105 @@
+//! Shows that the checker can fail: worlds that lack one mechanism each.
+//!
+//! The same cells pass in the matrix, where nothing is missing.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+
+use standin::worker;
+
+use super::fault::Row;
+use super::life::{Column, Flaw};
+use super::matrix::judge;
+use super::world::{World, worker_name};
+
+fn flaw_workers(world: &World, flaws: worker::Flaws) {
+    for index in 0..8 {
+        world
+            .platform
+            .with_worker(&worker_name(index), |worker, _| worker.set_flaws(flaws));
+    }
+}
+
+fn ignore_epochs(world: &World) {
+    flaw_workers(
+        world,
+        worker::Flaws {
+            ignores_epochs: true,
+            ..worker::Flaws::default()
+        },
+    );
+}
+
+fn forget_refusals(world: &World) {
+    flaw_workers(
+        world,
+        worker::Flaws {
+            forgets_refusals: true,
+            ..worker::Flaws::default()
+        },
+    );
+}
+
+fn start_held(world: &World) {
+    flaw_workers(
+        world,
+        worker::Flaws {
+            starts_held: true,
+            ..worker::Flaws::default()
+        },
+    );
+}
+
+fn uncheck(world: &World, prefix: &str) {
+    world.platform.table.set_unchecked(Some(prefix.to_owned()));
+}
+
+/// Has the table say of each write without an answer that it took effect.
+fn claim_ops(world: &World) {
+    for node in &world.nodes {
+        node.link.claim_writes();
+    }
+}
+
+fn hurry(world: &World) {
+    for node in &world.nodes {
+        node.hasty.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Points that fail without a mechanism, and the promises that are broken there.
+fn failing(flaw: Flaw, cells: &[(Row, Column)]) -> (usize, usize, BTreeSet<String>) {
+    let (mut all, mut bad, mut promises) = (0, BTreeSet::new(), BTreeSet::new());
+    for (row, column) in cells {
+        let judged = judge(*row, *column, Some(flaw));
+        all += judged.count;
+        for line in judged.bad {
+            let mut parts = line.split(": ");
+            bad.insert(format!("{row:?} {column:?} {}", parts.next().unwrap_or_default()));
+            promises.extend(parts.next().map(str::to_owned));
+        }
+    }
+    (all, bad.len(), promises)
+}
+
+macro_rules! missing {
+    ($($name:ident $flaw:expr, [$($row:ident $column:ident),*];)*) => {
+        $(#[test]
+        fn $name() {
+            let cells = [$((Row::$row, Column::$column)),*];
+            let (all, bad, promises) = failing($flaw, &cells);
+            println!("without {}: {bad} of {all} points fail, {promises:?}", stringify!($name));
+            assert!(bad > 0, "the checker notices");
+        })*
+    };
+}
+
+missing! {
+    fencing_token ignore_epochs, [Frozen Gang];
+    refusal_record forget_refusals, [AnswerLate Once, AnswerLate Gang, CutTo Once];
+    release_step start_held, [CutTo Gang];
+    configuration_lease |world| uncheck(world, "ticket/head"), [TableLost Ticket];
+    table_checks |world| uncheck(world, ""), [Frozen Once, TableLost Ticket];
+    operation_id claim_ops, [TableLate Once, TableLate Gang, TableLate Ticket];
+    drain_phase hurry, [Draining Drain];
+}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -3,10 +3,12 @@
 //! `docs/faults.md` shows the matrix and is made from its table here. See section 11 of `docs/design.md`.
 
 mod actor;
+mod broken;
 
 mod checker;
 mod evidence;
 mod fault;
+mod fed;
 mod life;
 mod matrix;
 mod node;
