Judge hints by their age and leave time for requests in a drain

Ruled out: dropping old events, since all but the state of the table are useful late. Figures: none measured; the bound of what a peer said is 3 s + 4 s under way, stated where it is used.

--- a/src/instance/daemon.rs
+++ b/src/instance/daemon.rs
@@ -25,6 +25,8 @@
 const HINT_DELAY: Millis = Millis(5);
 /// Time between two regular messages to the peers.
 const ANNOUNCE_EVERY: Millis = Millis(1000);
+/// Time for requests in flight in a drain, even if handing over the pools took all of the limit.
+const FINISH_MIN: Millis = Millis::from_secs(30);
 /// Messages from peers that may wait; more are dropped.
 const EVENTS_MAX: usize = 4096;
 /// Time between not being ready and refusing requests, in which the balancer takes the instance out.
@@ -115,19 +117,20 @@
             drain: config.drain,
         };
         daemon.spawn("session", Core::heartbeat)?;
+        let gauges = Arc::clone(&metrics);
         daemon.spawn("member", move |core, now| {
             core.watch(now);
             let live = core.member.live(now).len();
             table.set_instances(live);
-            metrics.set_sessions(live);
-            metrics.set_ticket(core.session.cached().number);
+            gauges.set_sessions(live);
+            gauges.set_ticket(core.session.cached().number);
             for (pool, jobs) in core.pools.waiting() {
-                metrics.set_waiting(&pool, jobs);
+                gauges.set_waiting(&pool, jobs);
             }
         })?;
         daemon.spawn("ticket", Core::finish)?;
         daemon.spawn_planner()?;
-        daemon.spawn_peers(config.peer, hello)?;
+        daemon.spawn_peers(config.peer, hello, metrics)?;
         Ok(daemon)
     }
 
@@ -170,7 +173,7 @@
         Ok(())
     }
 
-    fn spawn_peers(&mut self, listen: SocketAddr, hello: Hello) -> Result<(), DaemonError> {
+    fn spawn_peers(&mut self, listen: SocketAddr, hello: Hello, metrics: Arc<Metrics>) -> Result<(), DaemonError> {
         let (events, inbox) = flume::bounded(EVENTS_MAX);
         let mesh = Mesh::start(listen, hello, events)?;
         let (core, clock, stop) = (Arc::clone(&self.core), Arc::clone(&self.clock), Arc::clone(&self.stop));
@@ -183,6 +186,7 @@
                     let sessions = core.member.sessions().into_iter();
                     mesh.set_peers(sessions.map(|(name, row)| (name, row.peer)).collect());
                     core.announce(now);
+                    metrics.set_peer(&mesh.counts());
                 }
                 for hint in core.outbox().try_iter() {
                     mesh.send(To::All, &hint.into());
@@ -190,7 +194,8 @@
                 let first = inbox.recv_timeout(HINT_DELAY.duration()).ok();
                 for event in first.into_iter().chain(inbox.try_iter()) {
                     let now = clock.now();
-                    if core.hinted(now, &event.from.instance, event.message.into())
+                    let read = now.since(Millis(event.age().as_millis() as u64));
+                    if core.hinted(read, &event.from.instance, event.message.into())
                         && let Err(error) = core.session.refresh(now)
                     {
                         log::warn!("the session was not refreshed: {error}");
@@ -222,7 +227,7 @@
             thread::sleep(IDLE.duration());
         }
         if let Some(server) = self.server.take() {
-            let left = self.drain.since(self.clock.now().since(start));
+            let left = self.drain.since(self.clock.now().since(start)).max(FINISH_MIN);
             let drained = server.stop(left);
             log::info!("requests in flight: {drained:?}");
         }
--- a/src/instance/outage.rs
+++ b/src/instance/outage.rs
@@ -10,7 +10,8 @@
 use crate::name::InstanceName;
 use crate::time::Millis;
 
-/// Time for which what a peer said is used.
+/// Time for which what a peer said is used. A message may be 4 s under way, so what is used is at most 7 s old: less than
+/// the 8 s in which a ticket must be in force, and than the 11 s for which a new planner expects foreign renewals.
 const HEARD_MAX: Millis = Millis::from_secs(3);
 /// Longest outage in which idempotent calls go on from cached state.
 const CACHED_MAX: Millis = Millis::from_secs(15 * 60);
--- a/src/name.rs
+++ b/src/name.rs
@@ -38,6 +38,9 @@
     if text.len() > NAME_BYTES_MAX {
         return Err(NameError::TooLong(text.len()));
     }
+    if matches!(text, "." | "..") {
+        return Err(NameError::Dots);
+    }
     match text
         .chars()
         .find(|c| !c.is_ascii_alphanumeric() && !matches!(c, '.' | '_' | '-'))
