--- a/src/plan/reclaim.rs
+++ b/src/plan/reclaim.rs
@@ -5,7 +5,7 @@
 use super::book::{Claim, Stage};
 use super::place::{self, Offer};
 use super::worker::{Task, Worker};
-use super::{Decision, QueuedJob, Scheduler, StopReason, cell};
+use super::{Decision, QueuedJob, Scheduler, StopReason, cell, cells};
 use crate::job::{Seat, Shape};
 use crate::name::{JobId, TeamName};
 use crate::team::Level;
@@ -68,6 +68,17 @@
         let Some(seats) = self.reclaimable(now, job) else {
             return false;
         };
+        self.claim_inside(now, job, seats, out)
+    }
+
+    /// Claims seats inside the team's guarantee.
+    pub(super) fn claim_inside(
+        &mut self,
+        now: Millis,
+        job: &QueuedJob,
+        seats: Vec<Seat>,
+        out: &mut Vec<Decision>,
+    ) -> bool {
         let reason = StopReason::Reclaim { team: job.team.clone() };
         let claim = Claim { seats, firm: true };
         self.claim(now, job, claim, &reason, out)
@@ -82,14 +93,22 @@
             }
             let cell = self.cells.cell(index);
             let size = cell.size;
-            if cell.level != Level::Worker || size < u32::from(job.shape.accelerators) {
+            if self.cells.used(&self.fleet, index) {
                 continue;
             }
-            if self.cells.used(&self.fleet, index) {
+            if cell.level == Level::Rack {
+                let needed = u32::from(job.shape.members).min(size / u32::from(job.shape.accelerators));
+                if self.cells.members(index, job.shape.accelerators) < needed {
+                    self.straighten(index, size);
+                }
+                found += size;
+                continue;
+            }
+            if size < u32::from(job.shape.accelerators) {
                 continue;
             }
             let place_cost = |worker: &Worker, mask: u64| {
-                if worker.paused > now || mask & (worker.claimed | worker.firm) != 0 {
+                if self.avoids(now, worker, job) || mask & (worker.claimed | worker.firm) != 0 {
                     return None;
                 }
                 let need = size.min(job.shape.total_accelerators());
@@ -102,12 +121,19 @@
         }
     }
 
+    /// Moves an unused cell of a rack to whole workers, if there are enough.
+    fn straighten(&mut self, index: usize, size: u32) {
+        let pieces = self.cells.lift(&mut self.fleet, index);
+        let found = cells::rack_spot(&self.fleet, size, cells::unbroken);
+        self.cells.lay(&mut self.fleet, index, &found.unwrap_or(pieces));
+    }
+
     /// Seats inside the guarantee, counting what borrowers hold as free.
     fn reclaimable(&self, now: Millis, job: &QueuedJob) -> Option<Vec<Seat>> {
         let mut offers = Vec::new();
         for (index, own) in self.cells.own(&job.team) {
             let worker = self.fleet.worker(index);
-            if !worker.usable() || worker.paused > now {
+            if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
             let free = own & worker.mask & !worker.firm & !worker.claimed;
@@ -157,11 +183,14 @@
         reason: &StopReason,
         out: &mut Vec<Decision>,
     ) -> bool {
-        let Some(victims) = self.victims(now, job, &claim.seats) else {
+        let Some(mut victims) = self.victims(now, job, &claim.seats) else {
             return false;
         };
+        if !self.meet_quota(now, job, &mut victims) {
+            return false;
+        }
         for victim in victims {
-            self.stop(&victim, reason, out);
+            self.stop(now, &victim, reason, out);
         }
         for seat in &claim.seats {
             let index = self.fleet.enter(&seat.worker);
@@ -178,22 +207,21 @@
     }
 
     /// Tells a job to stop, once.
-    pub(super) fn stop(&mut self, id: &JobId, reason: &StopReason, out: &mut Vec<Decision>) {
+    fn stop(&mut self, now: Millis, id: &JobId, reason: &StopReason, out: &mut Vec<Decision>) {
         let Some(held) = self.jobs.get(id).and_then(|entry| entry.held()) else {
             return;
         };
         let first = held.seats.first().and_then(|seat| self.fleet.index(&seat.worker));
-        let told = first.is_some_and(|index| {
-            let tasks = &self.fleet.worker(index).tasks;
-            tasks.iter().any(|task| task.job == *id && task.stopping)
-        });
-        if told {
+        let tasks = first.map_or(&[][..], |index| &self.fleet.worker(index).tasks);
+        let Some(task) = tasks.iter().find(|task| task.job == *id && !task.stopping) else {
             return;
-        }
+        };
+        let overrun = task.end <= now && matches!(reason, StopReason::Gang { .. });
+        let reason = if overrun { StopReason::Overrun } else { reason.clone() };
         self.fleet.change(id, &held.seats, |task| task.stopping = true);
         out.push(Decision::Stop {
             job: id.clone(),
-            reason: reason.clone(),
+            reason,
         });
     }
 
@@ -222,13 +250,47 @@
         Some(victims)
     }
 
+    /// Adds borrowers of the job's own team until its quota allows the job once they are gone.
+    fn meet_quota(&self, now: Millis, job: &QueuedJob, victims: &mut BTreeSet<JobId>) -> bool {
+        let mut excess = self.order.excess(job);
+        if excess == 0 {
+            return true;
+        }
+        let mut own = Vec::new();
+        for (id, entry) in &self.jobs {
+            let Some(held) = entry.held().filter(|held| !held.firm && entry.job.team == job.team) else {
+                continue;
+            };
+            let size = u64::from(entry.job.shape.total_accelerators());
+            let worker = held.seats.first().and_then(|seat| self.fleet.index(&seat.worker));
+            let tasks = worker.map_or(&[][..], |index| &self.fleet.worker(index).tasks);
+            let Some(task) = tasks.iter().find(|task| task.job == *id) else {
+                continue;
+            };
+            if task.stopping || victims.contains(id) {
+                excess = excess.saturating_sub(size);
+            } else if size > 0 {
+                own.push((stop_cost(now, &job.team, task), size, id.clone()));
+            }
+        }
+        own.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, size, id) in own {
+            if excess == 0 {
+                break;
+            }
+            excess = excess.saturating_sub(size);
+            victims.insert(id);
+        }
+        excess == 0
+    }
+
     /// Gives claimed seats to their jobs once everybody has left them.
     pub(super) fn finish_claims(&mut self, now: Millis, out: &mut Vec<Decision>) {
         for id in self.claims.clone() {
             let Stage::Claiming(claim) = self.jobs[&id].stage.clone() else {
                 continue;
             };
-            let mut vacant = true;
+            let mut vacant = self.order.keeps_quota(&self.jobs[&id].job.team);
             for seat in &claim.seats {
                 let index = self.fleet.enter(&seat.worker);
                 let worker = self.fleet.worker(index);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,12 +4,14 @@
 //! for tests in one process with virtual time, and
 //! [`server`] puts them behind HTTP in real time.
 
+pub mod demo;
 pub mod fake;
 pub mod fault;
 pub mod flaws;
 pub mod load;
 pub mod measure;
 pub mod record;
+pub mod sample;
 pub mod script;
 pub mod server;
 pub mod table;
--- a/standin/src/measure/mod.rs
+++ b/standin/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements of the product's decisions, in virtual time and without a network.
 
 mod baseline;
+pub mod capacity;
 mod carry;
 pub mod check;
 mod claim;
@@ -15,6 +16,7 @@
 mod progress;
 pub mod replay;
 mod report;
+mod routing;
 pub mod scenario;
 pub mod target;
 pub mod trace;
@@ -26,6 +28,10 @@
 pub enum Measure {
     /// Compare the product's scheduling policy with baselines on generated traces.
     Policy(policy::PolicyArgs),
+    /// Measure what an instance costs, by the size of the pool that it plans.
+    Capacity(capacity::CapacityArgs),
+    /// Compare ways to route calls.
+    Route(routing::RouteArgs),
 }
 
 impl Measure {
@@ -33,6 +39,11 @@
     pub fn run(&self) -> miette::Result<()> {
         match self {
             Self::Policy(args) => args.run(),
+            Self::Capacity(args) => args.run(),
+            Self::Route(args) => {
+                args.run();
+                Ok(())
+            }
         }
     }
 }
--- a/standin/tests/load.rs
+++ b/standin/tests/load.rs
@@ -2,18 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, Read};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Mutex;
 use std::time::Duration;
 
 use rouille::{Request, Response, ResponseBody};
 use serde_json::{Value, json};
 use standin::load::{DirectSender, FlawSort, HttpSender, Load, LoadReport, Mix, Sort, check_answer};
+use standin::sample::{listed, loopback};
 use standin::server::{Host, WorkerServer};
 use yuccaridge::api::{ApiError, Code};
 use yuccaridge::job::{Class, JobSpec};
-use yuccaridge::name::{DomainName, KindName, RackName, TeamName, WorkerName};
-use yuccaridge::platform::{ListedWorker, Presence};
+use yuccaridge::name::{KindName, TeamName};
 use yuccaridge::time::SystemClock;
 
 const SEED: u64 = 7;
@@ -102,10 +101,6 @@
     Response::json(&json!({ "id": id, "state": "ended", "attempt": 1, "outcome": outcome }))
 }
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
 fn load(calls_share: f64) -> Load {
     Load {
         mix: Mix {
@@ -114,7 +109,8 @@
             calls_share,
             non_idempotent_share: 0.5,
             teams: vec![TeamName::new("t").unwrap()],
-            kind: KindName::new("k").unwrap(),
+            call_kind: KindName::new("query").unwrap(),
+            batch_kind: KindName::new("plan").unwrap(),
             pool: None,
             call_ms: 0,
             parts: 3,
@@ -176,6 +172,7 @@
     let report = run(Habit::Busy, 0.5, LONG);
     assert!(report.is_clean(), "{report}");
     assert_eq!(outcomes(&report), all("refused: busy"));
+    assert_eq!(report.refusals["refused: busy"], "no");
 }
 
 #[test]
@@ -206,19 +203,7 @@
 /// Guards against times that are cut off: no call can end before its work has.
 #[test]
 fn direct_calls_take_as_long_as_their_work() {
-    let listed = ListedWorker {
-        name: WorkerName::new("w").unwrap(),
-        address: loopback(),
-        rack: RackName::new("r").unwrap(),
-        domain: DomainName::new("d").unwrap(),
-        cores: 1,
-        memory_mb: 1,
-        accelerators: 0,
-        slots: 8,
-        connections: 60,
-        presence: Presence::Live,
-    };
-    let worker = WorkerServer::start(listed, 1.0, SystemClock::start()).unwrap();
+    let worker = WorkerServer::start(listed("w"), 1.0, SystemClock::start()).unwrap();
     let report = load(1.0)
         .run(&DirectSender::new(worker.address(), LONG), |_| {})
         .unwrap();
--- /dev/null
+++ b/standin/tests/server.rs
@@ -0,0 +1,125 @@
+//! Starting and stopping the servers.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+
+use rouille::Response;
+use serde_json::Value;
+use standin::record::{Deed, Entry};
+use standin::sample::{call, listed, loopback};
+use standin::server::{Host, PlatformServer, WorkerServer};
+use yuccaridge::platform::http::{HttpListing, HttpWorkers, Timeouts};
+use yuccaridge::platform::{Listed, Listing, Presence, Workers};
+use yuccaridge::time::SystemClock;
+
+/// Guards against a stop that waits until nobody asks any more, and against a stopped server that goes on working.
+#[test]
+fn busy_server_stops_and_carries_nothing_out() {
+    let served = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&served);
+    let host = Host::start(loopback(), move |_| {
+        count.fetch_add(1, Ordering::Relaxed);
+        Response::empty_204()
+    })
+    .unwrap();
+    let url = format!("http://{}/", host.address());
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let (served_one, first) = mpsc::channel();
+        for _ in 0..4 {
+            let served_one = served_one.clone();
+            let (url, over) = (&url, &over);
+            scope.spawn(move || {
+                while !over.load(Ordering::Relaxed) {
+                    drop(attohttpc::get(url).send());
+                    if served_one.send(()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+        first.recv().unwrap();
+
+        drop(host);
+
+        // One request of each thread may have been handed over before the stop.
+        let after = served.load(Ordering::Relaxed);
+        for _ in 0..20 {
+            first.recv().unwrap();
+        }
+        over.store(true, Ordering::Relaxed);
+        assert!(served.load(Ordering::Relaxed) <= after + 4);
+    });
+}
+
+#[test]
+fn stopped_platform_cannot_be_read() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let listing = HttpListing::new(platform.address(), Timeouts::default());
+    listing.list().unwrap();
+    drop(platform);
+    listing.list().unwrap_err();
+}
+
+/// Sends a request as a test in another process would; the status of its answer.
+fn control(method: &str, server: SocketAddr, path: &str, body: &str) -> u16 {
+    let method = attohttpc::Method::from_bytes(method.as_bytes()).unwrap();
+    let request = attohttpc::RequestBuilder::new(method, format!("http://{server}{path}"));
+    request.text(body).send().unwrap().status().as_u16()
+}
+
+/// Guards against a platform that tests in other processes cannot steer.
+#[test]
+fn platform_is_steered_over_http() {
+    let platform = PlatformServer::start(loopback()).unwrap();
+    let listing = HttpListing::new(platform.address(), Timeouts::default());
+    let send = |method: &str, path: &str, body: &str| control(method, platform.address(), path, body);
+    let worker = serde_json::to_string(&listed("w1")).unwrap();
+    let instance = r#"{"name":"i1","address":"127.0.0.1:2","domain":"d","presence":"live"}"#;
+    assert_eq!(send("POST", "/v1/list/workers", &worker), 200);
+    assert_eq!(send("POST", "/v1/list/instances", instance), 200);
+    let leaving = r#"{"workers":{"w1":"leaving"},"instances":{"i1":"leaving"}}"#;
+    assert_eq!(send("POST", "/v1/list/presences", leaving), 200);
+    let list = listing.list().unwrap();
+    assert_eq!(
+        (list.workers[0].presence, list.instances[0].presence),
+        (Presence::Leaving, Presence::Leaving)
+    );
+
+    assert_eq!(
+        send("POST", "/v1/faults", r#"{"target":"list","mishap":"outage"}"#),
+        200
+    );
+    listing.list().unwrap_err();
+    assert_eq!(send("DELETE", "/v1/faults", ""), 200);
+    assert_eq!(send("DELETE", "/v1/list/workers/w1", ""), 200);
+    assert_eq!(send("DELETE", "/v1/list/instances/i1", ""), 200);
+    assert_eq!(listing.list(), Ok(Listed::default()));
+    assert_eq!(
+        send("POST", "/v1/faults", r#"{"target":"moon","mishap":"outage"}"#),
+        400
+    );
+    assert_eq!(send("GET", "/v1/usage", ""), 200);
+    assert_eq!(send("GET", "/v1/other", ""), 400);
+}
+
+/// Guards against a worker whose boot or record tests in other processes cannot see change.
+#[test]
+fn worker_is_steered_over_http() {
+    let worker = WorkerServer::start(listed("w1"), 1.0, SystemClock::start()).unwrap();
+    let workers = HttpWorkers::new(Timeouts::default());
+    let send = |method: &str, path: &str, body: &str| control(method, worker.address(), path, body);
+    assert_eq!(send("POST", "/v1/restart", ""), 200);
+    assert_eq!(workers.report(worker.address()).unwrap().boot, 2);
+    assert_eq!(send("POST", "/v1/fails_all", "true"), 200);
+    let call = serde_json::to_string(&call("c1", Value::Null)).unwrap();
+    assert_eq!(send("POST", "/v1/calls/c1", &call), 200);
+    let record = attohttpc::get(format!("http://{}/v1/record", worker.address()))
+        .send()
+        .unwrap();
+    let record: Vec<Entry> = serde_json::from_slice(&record.bytes().unwrap()).unwrap();
+    let deeds: Vec<_> = record.into_iter().map(|entry| entry.deed).collect();
+    assert_eq!(deeds, [Deed::Started, Deed::Failed]);
+}
