Drop a gang's reservation once it claims seats

A job that had a reservation and claimed seats as an aged job kept both. When the reservation was met first, or redeemed, the job was placed or claimed a second time; what it had claimed before was never freed, and on its end its seats were not released either.

`claim` now drops the job's own reservation. `wake` ignores a probe that is overdue: with no fitting job for it, the policy asked to be woken again each millisecond.

Ruled out: leaked cores or slots on workers; their loads were right, the stale bits were in the claimed and held masks.

--- a/src/plan/decide.rs
+++ b/src/plan/decide.rs
@@ -81,7 +81,8 @@
         };
         earliest(self.reservation.as_ref().map(|held| held.at));
         if let Some((since, _)) = self.order.oldest().next() {
-            earliest(self.health.next_probe());
+            // A probe that is due but finds no job waits for the retry below, instead of waking at once again.
+            earliest(self.health.next_probe().filter(|at| *at > self.last));
             earliest(Some(self.last + RETRY));
             earliest(Some(*since + AGING).filter(|at| *at > self.last));
         }
--- a/src/plan/reclaim.rs
+++ b/src/plan/reclaim.rs
@@ -174,6 +174,10 @@
         if !self.meet_quota(now, job, &mut victims) {
             return false;
         }
+        // A job with both a claim and a reservation would be placed twice, and what it claimed would never be freed.
+        if self.reservation.as_ref().is_some_and(|held| held.job == job.id) {
+            self.drop_reservation();
+        }
         for victim in victims {
             self.stop(&victim, reason, out);
         }
