Ask workers with long jobs rarely and read only a changed list

Cause: at the target size most bytes of an instance were reports of jobs that run for hours and a list that had not changed. Change: workers whose attempts are older than 2 minutes are asked each 5 s instead of each second; task leases are renewed each 8 s instead of 5 s; the list is asked for with its entity tag and an unchanged one is not sent again. Ruled out: longer task leases, since a dead worker's jobs would wait longer. Conclusion: kept; the end of a job that runs for minutes may be seen up to 5 s later.

--- a/src/planner/contact.rs
+++ b/src/planner/contact.rs
@@ -10,8 +10,8 @@
 const LEASE_MARGIN: Millis = Millis::from_secs(3);
 /// Silence after which a worker counts as down.
 const DOWN_AFTER: Millis = Millis::from_secs(3);
-/// Time between two renewals of a worker's task leases.
-const RENEW_EVERY: Millis = Millis::from_secs(5);
+/// Time between two renewals of a worker's task leases: three tries fit into a lease of 30 s.
+const RENEW_EVERY: Millis = Millis::from_secs(8);
 /// Shortest and longest pause after a failed request.
 const PAUSE_MIN: Millis = Millis(200);
 const PAUSE_MAX: Millis = Millis::from_secs(5);
--- a/src/planner/exchange.rs
+++ b/src/planner/exchange.rs
@@ -14,9 +14,13 @@
 /// Time between two reports of a worker, by what is expected of it.
 const REPORT_CHANGING: Millis = Millis(200);
 const REPORT_RUNNING: Millis = Millis(1000);
+const REPORT_STEADY: Millis = Millis::from_secs(5);
 const REPORT_IDLE: Millis = Millis::from_secs(10);
 /// Time in which a new attempt is asked for often, since it may be a short job or fail at once.
 const YOUNG: Millis = Millis::from_secs(5);
+/// Age from which an attempt is asked rarely: 5 s more are little for a job that has run for minutes, and at the target
+/// size reports of long jobs are most of what an instance sends.
+const STEADY: Millis = Millis::from_secs(120);
 /// Commands in one request.
 const COMMANDS_MAX: usize = 256;
 
@@ -28,6 +32,8 @@
     active: bool,
     /// Members that are about to change state.
     changing: bool,
+    /// Members that have not run for long.
+    fresh: bool,
 }
 
 impl Planner {
@@ -55,10 +61,11 @@
                     })
                 }
                 _ => {
-                    let pause = match (need.changing, need.active) {
-                        (true, _) => REPORT_CHANGING,
-                        (false, true) => REPORT_RUNNING,
-                        (false, false) => REPORT_IDLE,
+                    let pause = match (need.changing, need.fresh, need.active) {
+                        (true, ..) => REPORT_CHANGING,
+                        (false, true, _) => REPORT_RUNNING,
+                        (false, false, true) => REPORT_STEADY,
+                        (false, false, false) => REPORT_IDLE,
                     };
                     let due = contact.boot.is_none()
                         || contact.is_failing()
@@ -89,8 +96,9 @@
                 }
                 let need = needs.entry(seat.worker.clone()).or_default();
                 need.active = true;
-                let young = now.since(attempt.since) < YOUNG;
-                need.changing |= young || member.state != Some(TaskState::Running);
+                let age = now.since(attempt.since);
+                need.fresh |= age < STEADY;
+                need.changing |= age < YOUNG || member.state != Some(TaskState::Running);
                 if let Some(action) = entry.action(index) {
                     let member = index as u16;
                     need.commands.push(Command {
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -4,7 +4,7 @@
 use std::io::Read;
 
 use attohttpc::header::CONTENT_LENGTH;
-use attohttpc::{ProxySettings, RequestBuilder, Response, Session};
+use attohttpc::{ProxySettings, RequestBuilder, Response, Session, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -85,7 +85,7 @@
     }
 }
 
-/// Sends a request; its answer if the status says success.
+/// Sends a request; its answer if the status says success, or that nothing has changed.
 pub(super) fn send(request: RequestBuilder, bytes: &[u8]) -> Result<Response, SendError> {
     let sent = Cell::new(false);
     let answer = request.body(SentBody { bytes, sent: &sent }).send();
@@ -97,7 +97,7 @@
         }
     })?;
     let status = answer.status();
-    if status.is_success() {
+    if status.is_success() || status == StatusCode::NOT_MODIFIED {
         return Ok(answer);
     }
     let body = read_bytes(answer, ERROR_BYTES_MAX)?;
--- a/standin/src/measure/capacity/site.rs
+++ b/standin/src/measure/capacity/site.rs
@@ -164,8 +164,8 @@
             running += usize::from(members);
         }
         self.wait_for(&jobs, |phase| matches!(phase, Phase::Running { .. }))?;
-        // Young attempts are asked more often.
-        self.run_for(Millis::from_secs(30));
+        // Workers are asked for young attempts more often.
+        self.run_for(Millis::from_secs(150));
         Ok(running)
     }
 
--- a/standin/src/server/platform.rs
+++ b/standin/src/server/platform.rs
@@ -1,6 +1,7 @@
 //! The table, the object store and the list behind HTTP.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -128,7 +129,7 @@
             ("POST", "/v1/table/commit") => self.faults.apply(Target::Commits, || self.commit(request)),
             ("PUT", "/v1/objects") => self.faults.apply(Target::Objects, || self.put_object(request)),
             ("GET", "/v1/objects") => self.faults.apply(Target::Objects, || self.get_object(request)),
-            ("GET", "/v1/list") => self.faults.apply(Target::List, || self.get_list()),
+            ("GET", "/v1/list") => self.faults.apply(Target::List, || self.get_list(request)),
             (method, path) => finish(self.control(method, path, request)),
         }
     }
@@ -163,12 +164,22 @@
         Ok(Response::from_data("application/octet-stream", bytes).with_unique_header(LENGTH_HEADER, length))
     }
 
-    fn get_list(&self) -> Answer {
+    fn get_list(&self, request: &Request) -> Answer {
         let list = self.list();
-        ok(&Listed {
+        let listed = Listed {
             workers: list.workers.values().cloned().collect(),
             instances: list.instances.values().cloned().collect(),
-        })
+        };
+        let bytes = serde_json::to_vec(&listed).map_err(|error| bad(error.to_string()))?;
+        let mut hasher = DefaultHasher::new();
+        bytes.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        if request.header("If-None-Match") == Some(tag.as_str()) {
+            return Ok(Response::empty_204()
+                .with_status_code(304)
+                .with_unique_header("ETag", tag));
+        }
+        Ok(Response::from_data("application/json", bytes).with_unique_header("ETag", tag))
     }
 
     /// Requests that only tests and stand-ins make.
--- a/tests/http/lists.rs
+++ b/tests/http/lists.rs
@@ -7,6 +7,7 @@
 use yuccaridge::platform::{ListedInstance, Listing, Presence};
 
 use crate::fixture::{fault, platform, refusing, timeouts};
+use crate::raw::{RawServer, reply};
 
 #[test]
 fn list_shows_what_was_added_marked_and_removed() {
@@ -46,3 +47,22 @@
     listing.list().unwrap();
     HttpListing::new(refusing(), timeouts()).list().unwrap_err();
 }
+
+/// Guards against an unchanged list that is sent again in full, and against a changed one that is not noticed.
+#[test]
+fn only_a_changed_list_is_sent_again() {
+    let platform = platform();
+    platform.list_worker(listed("w1"));
+    let listing = HttpListing::new(platform.address(), timeouts());
+    let first = listing.list().unwrap();
+
+    let same = listing.list().unwrap();
+    platform.list_worker(listed("w2"));
+    let changed = listing.list().unwrap();
+    let unasked = RawServer::start(|_, _, stream| reply(stream, 304, b""));
+    let unchanged = HttpListing::new(unasked.address, timeouts()).list().unwrap_err();
+
+    assert_eq!(same, first);
+    assert_eq!(changed.workers.len(), 2);
+    assert!(unchanged.to_string().contains("never sent"), "{unchanged}");
+}
