--- a/src/plan/decide.rs
+++ b/src/plan/decide.rs
@@ -70,6 +70,8 @@
         self.try_reserved(now, &mut out);
         self.probe(now, &mut out);
         self.try_fair(now, &mut searches, &mut out);
+        // A claim for which nobody has to go waits for no event.
+        self.finish_claims(now, &mut out);
         out
     }
 
--- a/src/plan/reserve.rs
+++ b/src/plan/reserve.rs
@@ -10,7 +10,7 @@
 use super::book::{Claim, flexible};
 use super::place::{self, Offer};
 use super::worker::{Load, Task, Worker};
-use super::{Decision, QueuedJob, Scheduler, StopReason, cell};
+use super::{Decision, QueuedJob, Scheduler, StopReason, Weights, cell};
 use crate::job::Seat;
 use crate::name::JobId;
 use crate::time::Millis;
@@ -22,8 +22,10 @@
 const SMALLER: u32 = 2;
 /// One that cannot resume, by this factor, since it loses its work.
 const MUCH_SMALLER: u32 = 8;
-/// The gang has to have waited this long for that.
-const PATIENCE: Millis = Millis::from_secs(120);
+/// The gang has to have waited this long for that, times the weight of completion: restarts cost completion time.
+const PATIENCE: f64 = 1500.0;
+/// A gang has to have waited this long to stop smaller borrowers that checkpoint, times the weight of completion.
+const COURTESY: f64 = 375.0;
 /// A borrower that checkpoints runs at least this long before it is stopped for a gang.
 const RUN_MIN: Millis = Millis::from_secs(120);
 /// Times that are looked at for a reservation; a finer grain is lost in the error of the estimates.
@@ -55,7 +57,7 @@
         let mut ends = Vec::new();
         for worker in self.fleet.workers() {
             for task in &worker.tasks {
-                ends.push(vacated(now, job, task));
+                ends.push(vacated(now, self.weights, job, task));
             }
         }
         ends.sort_unstable();
@@ -107,7 +109,7 @@
             if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
-            let gone = |task: &Task| vacated(now, job, task) <= at;
+            let gone = |task: &Task| vacated(now, self.weights, job, task) <= at;
             let members = worker.members_without(&job.shape, worker.free(), gone);
             if members == 0 || self.is_kept(worker, job) {
                 continue;
@@ -149,7 +151,7 @@
             if !worker.usable() || self.avoids(now, worker, job) {
                 continue;
             }
-            let gone = |task: &Task| vacated(now, job, task) <= at;
+            let gone = |task: &Task| vacated(now, self.weights, job, task) <= at;
             let members = worker.members_without(&job.shape, worker.free(), gone);
             if members == 0 || self.is_kept(worker, job) {
                 continue;
@@ -213,17 +215,18 @@
 
 /// When a task's place can be had by a gang: at its expected end, or when a smaller borrower that checkpoints may be
 /// stopped.
-fn vacated(now: Millis, gang: &QueuedJob, task: &Task) -> Millis {
+fn vacated(now: Millis, weights: Weights, gang: &QueuedJob, task: &Task) -> Millis {
+    let weighted = |secs: f64| Millis((secs * 1000.0 * weights.completion) as u64);
     if task.firm && task.end <= now {
         return now + OVERRUN_GUESS;
     }
     let (task_size, gang_size) = (task.shape.total_accelerators(), gang.shape.total_accelerators());
     let mut end = task.end;
     if !task.firm && task.checkpoints && task_size * SMALLER <= gang_size {
-        end = end.min(task.started + RUN_MIN);
+        end = end.min((task.started + RUN_MIN).max(gang.since + weighted(COURTESY)));
     }
     if !task.firm && !task.restarted && task_size * MUCH_SMALLER <= gang_size {
-        end = end.min(gang.since + PATIENCE);
+        end = end.min(gang.since + weighted(PATIENCE));
     }
     end.max(now)
 }
