Keep the queue mark of a job until it ends

A ticket that removes a pool only looks for marks, so it was accepted while a gang ran there. If that pool's planner had died then, nobody would have taken the pool over, and the job would never have ended.

Change: only the end of a job removes its mark.

Ruled out: to have the ticket look at the worker rows too.

Conclusion: a pool with any unended job cannot be removed, but for a job that is accepted between the look and the ticket's write.

--- a/src/planner/ledger.rs
+++ b/src/planner/ledger.rs
@@ -191,8 +191,9 @@
                 key: key::job(id),
                 value: content(&change.row),
             });
+            // The mark stays until the job ends, since a pool that has marks cannot be removed.
             let mark = change.queued.then(|| serde_json::json!({}));
-            if change.queued || change.step != Step::Run {
+            if change.queued || change.step == Step::End {
                 puts.push(Put {
                     key: key::queued(&self.pool, id),
                     value: mark,
--- a/tests/faults/outage.rs
+++ b/tests/faults/outage.rs
@@ -229,3 +229,22 @@
     assert_eq!(lapsed, 4, "every member of the gang lapses once");
     assert_eq!(check(&evidence), []);
 }
+
+/// Guards against a ticket that takes away the pool of a job that runs.
+#[test]
+fn pool_with_running_job_stays() {
+    let world = ready(direct);
+    add(&world, "gang", life::gang("a", 4, 20_000, 10), 0);
+    world.run_for(Millis::from_secs(5));
+    let team =
+        |count: u16| serde_json::json!({ "quota": 1000, "weight": count, "kinds": ["k", "c"], "guarantees": [] });
+    let body = serde_json::json!({ "objects": { "team": { "a": team(1), "c": team(1) }, "pool": { "p": null } } });
+    world.add(Operator::new(2, &body, 1, world.now()));
+    world.run_for(Millis::from_secs(10));
+
+    assert!(finish(&world, OUTAGE), "the gang ends");
+    let evidence = world.close();
+    let removed = evidence.logs.contains_key(&2);
+    assert!(!removed, "the pool still has a job");
+    assert_eq!(check(&evidence), []);
+}
