--- a/standin/tests/policy.rs
+++ b/standin/tests/policy.rs
@@ -1,7 +1,7 @@
 //! Replays of small traces: same seed, same figures; and the check catches broken policies.
 
 use standin::measure::check::Violation;
-use standin::measure::contender::Contender;
+use standin::measure::contender::{Contender, Owner};
 use standin::measure::figures::Run;
 use standin::measure::replay::replay;
 use standin::measure::scenario::Scenario;
@@ -130,6 +130,22 @@
     }
 }
 
+/// Guards against a product policy that breaks a promise, or decides by anything but its input.
+#[test]
+fn product_policy_keeps_its_promises() {
+    for scenario in [Scenario::RackLost, Scenario::Declarations] {
+        for owner in [Owner::Norden, Owner::Dakar] {
+            let first = run(scenario, Contender::Ours(owner));
+            assert_eq!(first, run(scenario, Contender::Ours(owner)), "{scenario:?} {owner:?}");
+            assert!(
+                first.violations.is_empty(),
+                "{scenario:?} {owner:?}: {:?}",
+                first.violations
+            );
+        }
+    }
+}
+
 /// Guards against a check that lets a broken policy pass.
 #[test]
 fn check_catches_each_fault() {
