Let a report cost what its worker holds, not what the pool holds

Cause: each report looked at all jobs of the pool, and each step copied all seats, so the planner's cost grew with the square of the pool. Change: a report looks at the jobs that the worker's row names; lapses are looked for only when a worker is down; seats are borrowed, not copied; the capacity tool counts the list apart from the table. Ruled out: a second index of jobs by worker, since the worker rows are one already.

--- a/src/planner/controller.rs
+++ b/src/planner/controller.rs
@@ -203,19 +203,19 @@
     /// Counts the members on workers whose leases have lapsed as gone.
     fn lapse(&mut self, now: Millis) {
         let fleet = &self.fleet;
+        if !fleet.contacts.values().any(|contact| contact.is_down(now)) {
+            return;
+        }
         for entry in self.entries.values_mut() {
-            let running = matches!(entry.row.phase, Phase::Running { .. });
-            let workers: Vec<_> = entry.seats().iter().map(|seat| seat.worker.clone()).collect();
-            let Some(attempt) = &mut entry.attempt else { continue };
-            for (member, worker) in attempt.members.iter_mut().zip(&workers) {
-                let Some(contact) = fleet.contacts.get(worker) else {
+            // Nothing of a placed attempt runs, so a silent worker need not be waited for.
+            let undone = matches!(entry.row.phase, Phase::Placed { .. })
+                && entry.attempt.as_ref().is_some_and(|attempt| attempt.goal != Goal::Run);
+            for (member, seat) in entry.members_mut() {
+                let Some(contact) = fleet.contacts.get(&seat.worker) else {
                     continue;
                 };
-                // Nothing of a placed attempt runs, so a silent worker need not be waited for.
-                let undone = !running && attempt.goal != Goal::Run && contact.is_down(now);
-                if !member.is_settled() && (undone || contact.has_lapsed(now)) {
-                    member.gone = true;
-                }
+                let over = contact.has_lapsed(now) || (undone && contact.is_down(now));
+                member.gone |= over && !member.is_settled();
             }
         }
     }
--- a/src/planner/entry.rs
+++ b/src/planner/entry.rs
@@ -16,6 +16,13 @@
 /// Time for a checkpoint before a task is stopped without; keeps a reclaim within its 2.6 s.
 const CHECKPOINT_GRACE_MS: u64 = 1500;
 
+fn seats_of(phase: &Phase) -> &[Seat] {
+    match phase {
+        Phase::Placed { seats, .. } | Phase::Running { seats, .. } => seats,
+        _ => &[],
+    }
+}
+
 /// A job's row, its version, and the state of its attempt.
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
@@ -50,10 +57,16 @@
 
     /// Seats that the row names.
     pub fn seats(&self) -> &[Seat] {
-        match &self.row.phase {
-            Phase::Placed { seats, .. } | Phase::Running { seats, .. } => seats,
-            _ => &[],
-        }
+        seats_of(&self.row.phase)
+    }
+
+    /// The attempt's members with their seats.
+    pub fn members_mut(&mut self) -> impl Iterator<Item = (&mut Member, &Seat)> {
+        let members = self
+            .attempt
+            .as_mut()
+            .map_or(&mut [][..], |attempt| &mut attempt.members);
+        members.iter_mut().zip(seats_of(&self.row.phase))
     }
 
     fn free_seats(&self) -> Seats {
@@ -148,11 +161,16 @@
     }
 
     fn revise(&mut self, now: Millis) {
-        let cancelled = self.row.cancel;
-        let placed = matches!(self.row.phase, Phase::Placed { .. });
-        let seats = self.seats().to_vec();
-        let Some(attempt) = &mut self.attempt else { return };
-        if cancelled {
+        let Self {
+            row,
+            attempt: Some(attempt),
+            ..
+        } = self
+        else {
+            return;
+        };
+        let placed = matches!(row.phase, Phase::Placed { .. });
+        if row.cancel {
             attempt.stop(Cause::Cancelled);
         }
         if attempt.goal != Goal::Run {
@@ -160,19 +178,19 @@
         }
         let late = now.since(attempt.since) > if placed { PREPARE_MAX } else { RELEASE_MAX };
         let mut cause = None;
-        for (member, seat) in attempt.members.iter().zip(&seats) {
-            let worker = seat.worker.clone();
+        for (member, seat) in attempt.members.iter().zip(seats_of(&row.phase)) {
+            let worker = || seat.worker.clone();
             cause = match &member.state {
                 Some(TaskState::Failed { reason }) => Some(Cause::Failed {
-                    worker,
+                    worker: worker(),
                     reason: reason.clone(),
                 }),
                 Some(TaskState::Finished { .. }) if !member.gone => None,
                 _ if placed && (member.is_settled() || (late && !member.is_held())) => {
-                    Some(Cause::Unprepared { worker: Some(worker) })
+                    Some(Cause::Unprepared { worker: Some(worker()) })
                 }
-                _ if member.is_settled() => Some(Cause::Lost { worker }),
-                None | Some(TaskState::Held) if !placed && late => Some(Cause::Lost { worker }),
+                _ if member.is_settled() => Some(Cause::Lost { worker: worker() }),
+                None | Some(TaskState::Held) if !placed && late => Some(Cause::Lost { worker: worker() }),
                 _ => None,
             };
             if cause.is_some() {
--- a/src/planner/exchange.rs
+++ b/src/planner/exchange.rs
@@ -198,18 +198,27 @@
             return;
         }
         contact.forget.clear();
-        for entry in self.entries.values_mut() {
+        for id in self.jobs_on(worker) {
+            let Some(entry) = self.entries.get_mut(&id) else {
+                continue;
+            };
             let running = matches!(entry.row.phase, Phase::Running { .. });
-            let seats = entry.seats().to_vec();
-            let Some(attempt) = &mut entry.attempt else { continue };
-            for (member, seat) in attempt.members.iter_mut().zip(&seats) {
-                if seat.worker == *worker && !member.is_settled() && (running || member.state.is_some()) {
-                    member.gone = true;
-                }
+            for (member, seat) in entry.members_mut() {
+                let held = running || member.state.is_some();
+                member.gone |= seat.worker == *worker && held && !member.is_settled();
             }
         }
     }
 
+    /// Jobs that hold seats on a worker.
+    fn jobs_on(&self, worker: &WorkerName) -> BTreeSet<JobId> {
+        let row = self.ledger.workers.get(worker);
+        row.into_iter()
+            .flat_map(|(row, _)| &row.held)
+            .map(|held| held.job.clone())
+            .collect()
+    }
+
     fn reported(&mut self, worker: &WorkerName, report: &Report) {
         let known = self.fleet.contacts.get(worker).and_then(|contact| contact.boot);
         if known.is_some() {
@@ -249,14 +258,13 @@
 
     /// Counts members that their worker was known to have, and no longer reports, as gone.
     fn miss(&mut self, worker: &WorkerName, seen: &BTreeSet<(JobId, u16)>) {
-        for (id, entry) in &mut self.entries {
-            let seats = entry.seats().to_vec();
-            let Some(attempt) = &mut entry.attempt else { continue };
-            for (index, (member, seat)) in attempt.members.iter_mut().zip(&seats).enumerate() {
-                let known = member.state.is_some() && !member.is_settled();
-                if seat.worker == *worker && known && !seen.contains(&(id.clone(), index as u16)) {
-                    member.gone = true;
-                }
+        for id in self.jobs_on(worker) {
+            let Some(entry) = self.entries.get_mut(&id) else {
+                continue;
+            };
+            for (index, (member, seat)) in (0..).zip(entry.members_mut()) {
+                let known = seat.worker == *worker && member.state.is_some() && !member.is_settled();
+                member.gone |= known && !seen.contains(&(id.clone(), index));
             }
         }
     }
--- a/standin/src/measure/capacity/meter.rs
+++ b/standin/src/measure/capacity/meter.rs
@@ -26,8 +26,10 @@
     pub reads: u64,
     /// Transactions.
     pub commits: u64,
-    /// Bytes to and from the table and the list.
-    pub platform_bytes: u64,
+    /// Bytes to and from the table.
+    pub table_bytes: u64,
+    /// Bytes of the list; over HTTP an unchanged list is not sent again.
+    pub list_bytes: u64,
     /// Time of the stand-ins and of counting.
     pub outside: Duration,
 }
@@ -90,7 +92,7 @@
             |link| link.read(keys),
             |counts, result| {
                 counts.reads += 1;
-                counts.platform_bytes += size(keys) + result.as_ref().map_or(0, size);
+                counts.table_bytes += size(keys) + result.as_ref().map_or(0, size);
             },
         )
     }
@@ -100,7 +102,7 @@
             |link| link.scan(prefix, after, limit),
             |counts, result| {
                 counts.reads += 1;
-                counts.platform_bytes += size(prefix) + result.as_ref().map_or(0, size);
+                counts.table_bytes += size(prefix) + result.as_ref().map_or(0, size);
             },
         )
     }
@@ -110,7 +112,7 @@
             |link| link.commit(txn),
             |counts, _| {
                 counts.commits += 1;
-                counts.platform_bytes += size(txn);
+                counts.table_bytes += size(txn);
             },
         )
     }
@@ -119,7 +121,7 @@
 impl Listing for Meter {
     fn list(&self) -> Result<Listed, ListingError> {
         self.metered(Link::list, |counts, result| {
-            counts.platform_bytes += result.as_ref().map_or(0, size);
+            counts.list_bytes += result.as_ref().map_or(0, size);
         })
     }
 }
--- a/standin/src/measure/capacity/mod.rs
+++ b/standin/src/measure/capacity/mod.rs
@@ -46,7 +46,8 @@
     worker_bytes: f64,
     reads: f64,
     commits: f64,
-    platform_bytes: f64,
+    table_bytes: f64,
+    list_bytes: f64,
     /// Processor time of one short job from submission to end beyond the steady cost, in milliseconds.
     job_cpu_ms: f64,
     job_commits: f64,
@@ -73,7 +74,8 @@
         worker_bytes: per_second(steady.counts.worker_bytes),
         reads: per_second(steady.counts.reads),
         commits: per_second(steady.counts.commits),
-        platform_bytes: per_second(steady.counts.platform_bytes),
+        table_bytes: per_second(steady.counts.table_bytes),
+        list_bytes: per_second(steady.counts.list_bytes),
         job_cpu_ms: (churn.cpu_ms - churn.seconds * steady.cpu_ms / seconds) / jobs,
         job_commits: (churn.counts.commits as f64 - renewals) / jobs,
     })
@@ -147,11 +149,11 @@
 
 fn print(rows: &[Row]) {
     println!(
-        "workers   tasks   cpu ms/s  worker req/s  worker B/s  reads/s  commits/s  platform B/s  job cpu ms  job commits"
+        "workers   tasks   cpu ms/s  worker req/s  worker B/s  reads/s  commits/s  table B/s  list B/s  job cpu ms  job commits"
     );
     for row in rows {
         println!(
-            "{:>7} {:>7} {:>10.3} {:>13.1} {:>11.0} {:>8.2} {:>10.2} {:>13.0} {:>11.3} {:>12.2}",
+            "{:>7} {:>7} {:>10.3} {:>13.1} {:>11.0} {:>8.2} {:>10.2} {:>10.0} {:>9.0} {:>11.3} {:>12.2}",
             row.workers,
             row.tasks,
             row.cpu_ms,
@@ -159,19 +161,21 @@
             row.worker_bytes,
             row.reads,
             row.commits,
-            row.platform_bytes,
+            row.table_bytes,
+            row.list_bytes,
             row.job_cpu_ms,
             row.job_commits
         );
     }
     println!("\nSlope for each worker, and value without workers:");
-    let columns: [Column; 6] = [
+    let columns: [Column; 7] = [
         ("cpu ms/s", |row| row.cpu_ms),
         ("worker requests/s", |row| row.worker_requests),
         ("worker bytes/s", |row| row.worker_bytes),
         ("reads/s", |row| row.reads),
         ("commits/s", |row| row.commits),
-        ("platform bytes/s", |row| row.platform_bytes),
+        ("table bytes/s", |row| row.table_bytes),
+        ("list bytes/s", |row| row.list_bytes),
     ];
     for (name, column) in columns {
         let points: Vec<_> = rows.iter().map(|row| (f64::from(row.workers), column(row))).collect();
