Show that work given to a leaving worker is noticed

Cause: the promise to leaving workers was shown by evidence written by hand only.

Change: a world whose list shows every worker as live for ever.

Ruled out: the gang's life cycle for this; its members are held within 2 s of the fault at most points.

Conclusion: only the whole answer and the end of accepted jobs have no world of their own that fails for them alone.

--- a/tests/faults/broken.rs
+++ b/tests/faults/broken.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
+use standin::fake::Link;
 use standin::worker;
+use yuccaridge::platform::Listing;
 
 use super::fault::Row;
 use super::life::{Column, Flaw};
@@ -61,6 +63,14 @@
     }
 }
 
+/// Has the list show every worker as live for ever.
+fn hide_leaving(world: &World) {
+    let list = Link::new(&world.platform).list().expect("the list answers");
+    for node in &world.nodes {
+        node.link.set_list(Some(list.clone()));
+    }
+}
+
 fn hurry(world: &World) {
     for node in &world.nodes {
         node.hasty.store(true, Ordering::Relaxed);
@@ -101,5 +111,6 @@
     configuration_lease |world| uncheck(world, "ticket/head"), [TableLost Ticket];
     table_checks |world| uncheck(world, ""), [Frozen Once, TableLost Ticket];
     operation_id claim_ops, [TableLate Once, TableLate Gang, TableLate Ticket];
+    leaving_list hide_leaving, [WorkerLeaving Reclaim];
     drain_phase hurry, [Draining Drain];
 }
