Let the matrix's gang outlast a renewal of its leases

Cause: task leases are now renewed every 8 s, and renewals ride with other commands, so the gang of 7 s no longer passed the step renew_tasks and the matrix lost its points.

Change: the gang works for 18 s.

Ruled out: 12 s, in which the step was still not passed.

Conclusion: the reclaim no longer passes renew_tasks; the gang does.

--- a/tests/faults/life.rs
+++ b/tests/faults/life.rs
@@ -248,7 +248,7 @@
         Column::Idempotent => add(world, "query", call(true, 10), 0),
         Column::Once => add(world, "order", once(call(false, 7000)), 0),
         Column::Gang => {
-            add(world, "gang", gang("b", 4, 7000, 5000), 0);
+            add(world, "gang", gang("b", 4, 18_000, 5000), 0);
             add(world, "once", once(gang("a", 4, once_ms(row), 10)), 1);
             if matches!(row, Some(Row::Frozen | Row::FreezeLost)) {
                 world.evidence().guaranteed.insert("once".parse().expect("a valid id"));
