--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -21,6 +21,7 @@
 mod ledger;
 mod member;
 mod request;
+mod writing;
 
 pub use claim::Claim;
 pub use controller::{Planner, Progress, View};
