Use the shared scan in the planner

Cause: planner/ledger.rs had its own copy of row::scan_all. Change: the planner calls row::scan_all; the copy is gone. Ruled out: nothing. The whole workspace was not run again.

--- a/src/planner/claim.rs
+++ b/src/planner/claim.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use super::error::PlannerError;
-use super::ledger::{Ledger, content, parse, scan_all};
+use super::ledger::{Ledger, content, parse};
 use crate::job::JobRow;
 use crate::name::{InstanceName, JobId, PoolName};
 use crate::platform::{Check, Objects, Put, Step, Table, TableError, Txn, Version};
-use crate::row::{OpIds, PoolRow, WorkerRow, key};
+use crate::row::{OpIds, PoolRow, WorkerRow, key, scan_all};
 
 /// Wish of an instance to plan a pool.
 #[derive(Debug)]
@@ -90,7 +90,7 @@
     pub(super) fn load(&mut self) -> Result<Vec<(JobRow, Version)>, PlannerError> {
         let mut ids = BTreeSet::new();
         let prefix = key::workers(&self.pool);
-        for row in scan_all(self.table.as_ref(), &prefix)? {
+        for row in scan_all(self.table.as_ref(), &prefix, None)? {
             let worker: WorkerRow = parse(&row)?;
             ids.extend(worker.held.iter().map(|held| held.job.clone()));
             if let Some(Ok(name)) = row.key.strip_prefix(&prefix).map(str::parse) {
@@ -104,7 +104,7 @@
     /// Jobs that wait or are to be cancelled, with the version of the write that put them into the queue.
     pub(super) fn queued(&self) -> Result<Vec<(JobId, Version)>, PlannerError> {
         let prefix = key::queue(&self.pool);
-        let rows = scan_all(self.table.as_ref(), &prefix)?;
+        let rows = scan_all(self.table.as_ref(), &prefix, None)?;
         Ok(rows
             .iter()
             .filter_map(|row| Some((row.key.strip_prefix(&prefix)?.parse().ok()?, row.version)))
--- a/src/planner/ledger.rs
+++ b/src/planner/ledger.rs
@@ -62,20 +62,6 @@
     serde_json::to_value(value).ok()
 }
 
-/// All rows under a prefix.
-pub(super) fn scan_all(table: &dyn Table, prefix: &str) -> Result<Vec<Row>, TableError> {
-    let mut rows = Vec::new();
-    let mut after: Option<Key> = None;
-    loop {
-        let page = table.scan(prefix, after.as_deref(), ROWS_PER_READ)?;
-        rows.extend(page.rows);
-        if page.next.is_none() {
-            return Ok(rows);
-        }
-        after = page.next;
-    }
-}
-
 impl Ledger {
     /// Rows of these jobs; absent ones are left out.
     pub fn read_jobs(&self, ids: &[JobId]) -> Result<Vec<(JobRow, Version)>, PlannerError> {
