--- a/src/planner/ledger.rs
+++ b/src/planner/ledger.rs
@@ -10,7 +10,7 @@
 use super::error::PlannerError;
 use crate::job::{JobRow, Phase};
 use crate::name::{InstanceName, JobId, PoolName, WorkerName};
-use crate::platform::{Check, Key, Objects, OpId, Put, Row, Step, Table, TableError, Txn, Version};
+use crate::platform::{Check, Objects, OpId, Put, Row, Step, Table, TableError, Txn, Version};
 use crate::row::{Held, OpIds, PoolRow, WorkerRow, key};
 
 /// Jobs in one transaction; keeps it well below common limits on rows and bytes.
