Store the end of a unit before its endpoint may forget it

Cause: an end that did not finish its job left the job's record as it was, and the endpoint was allowed to forget the end. Change: such an end marks the record as changed.

--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -171,6 +171,8 @@
         match end.outcome {
             Outcome::Done if !lasting => {
                 unit.state = UnitState::Done;
+                // The end may be forgotten by its endpoint only once this is stored.
+                self.dirty.insert(Arc::clone(&occupant.job));
                 if let Some(endpoint) = self.endpoints.get_mut(name) {
                     endpoint.strikes.clear();
                     endpoint.quarantine_ms = 0;
