Do not count a renewal that was not sent

Change: the bound is extended when the hold has ended and may have been sent; no lease is renewed after six silent holds, and a draining endpoint gets short ones. Ruled out: to trust the removal of the entry, which also happens to an endpoint that is cut off and runs on.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -543,7 +543,7 @@
     fn lapse(&mut self, now: u64) {
         let mut lapsed = Vec::new();
         for (name, endpoint) in &self.endpoints {
-            if endpoint.runs.is_empty() || endpoint.lapse_at > now {
+            if endpoint.runs.is_empty() || !endpoint.has_lapsed(now) {
                 continue;
             }
             log::info!(endpoint:% = name, runs = endpoint.runs.len(); "all leases on the endpoint have passed");
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -53,6 +53,8 @@
     pub told: u64,
     /// Time by which everything on it has lapsed, in milliseconds.
     pub lapse_at: u64,
+    /// Time by which everything on it has lapsed if the hold under way renews its lease, in milliseconds.
+    pub renewing: u64,
     /// It has reported to this leader in this life.
     pub reported: bool,
     /// Runs that may be on it, by task and run.
@@ -82,6 +84,7 @@
             stored: 0,
             told: 0,
             lapse_at,
+            renewing: 0,
             reported: false,
             runs: BTreeMap::new(),
             used: Room::default(),
@@ -128,13 +131,11 @@
     /// What the next hold says, sent at `now`.
     pub fn hold(&mut self, tuning: &Tuning, now: u64) -> Hold {
         let idle = self.runs.is_empty();
-        let until_ms = self
-            .clock
-            .filter(|_| !idle)
-            .map(|(clock, at)| clock + (now - at) + tuning.lease_ms);
-        if until_ms.is_some() {
-            self.leased(tuning, now, tuning.lease_ms);
-        }
+        // What is left on a silent endpoint has to lapse some time, also if only its answers are lost.
+        let renews = !idle && self.silence < tuning.silence_max;
+        let span = if self.entry.draining { tuning.start_lease_ms } else { tuning.lease_ms };
+        let until_ms = if renews { self.until(now, span) } else { None };
+        self.renewing = until_ms.map_or(0, |_| bound(tuning, now, span));
         // Ends that are not stored yet would be listed again at once.
         let settled = self.stored == self.seen && self.reported;
         let wait = if idle || !settled { 0 } else { tuning.hold_wait_ms };
@@ -148,8 +149,20 @@
 
     /// Notes that a lease of `span_ms` was granted in an order sent at `now`.
     pub fn leased(&mut self, tuning: &Tuning, now: u64, span_ms: u64) {
-        let span = (span_ms as f64 * (1.0 + tuning.clock_drift)).ceil() as u64;
-        self.lapse_at = self.lapse_at.max(now + span + TRANSIT_MS);
+        self.lapse_at = self.lapse_at.max(bound(tuning, now, span_ms));
+    }
+
+    /// The hold under way has ended; `sent` tells whether it may have reached the endpoint.
+    pub fn held(&mut self, sent: bool) {
+        if sent {
+            self.lapse_at = self.lapse_at.max(self.renewing);
+        }
+        self.renewing = 0;
+    }
+
+    /// Whether everything on it has lapsed for certain.
+    pub fn has_lapsed(&self, now: u64) -> bool {
+        self.lapse_at.max(self.renewing) <= now
     }
 
     /// End of a lease on the clock of the endpoint.
@@ -157,3 +170,9 @@
         self.clock.map(|(clock, at)| clock + (now - at) + span_ms)
     }
 }
+
+/// Time by which a lease that an order grants at `now` has passed on a slow clock, in milliseconds.
+fn bound(tuning: &Tuning, now: u64, span_ms: u64) -> u64 {
+    let span = (span_ms as f64 * (1.0 + tuning.clock_drift)).ceil() as u64;
+    now + span + TRANSIT_MS
+}
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -5,17 +5,18 @@
 
 use super::{Dispatcher, Effect, MemberState, Stop, UnitState};
 use crate::graph::Phase;
-use crate::port::{End, Outcome, Report, Running};
+use crate::port::{End, OrderError, Outcome, Report, Running};
 
 impl Dispatcher {
     /// A hold had no answer.
-    pub fn silent(&mut self, name: &Arc<str>, reason: &str) {
+    pub fn silent(&mut self, name: &Arc<str>, error: &OrderError) {
         let Some(endpoint) = self.endpoints.get_mut(name) else {
             return;
         };
+        endpoint.held(!matches!(error, OrderError::NotSent(_)));
         endpoint.silence = endpoint.silence.saturating_add(1);
         if endpoint.silence == 2 {
-            log::warn!(endpoint:% = name, runs = endpoint.runs.len(), reason; "endpoint does not answer");
+            log::warn!(endpoint:% = name, runs = endpoint.runs.len(), error:% = error; "endpoint does not answer");
         }
     }
 
@@ -39,6 +40,7 @@
         if endpoint.silence >= 2 {
             log::info!(endpoint:% = name; "endpoint answers again");
         }
+        endpoint.held(true);
         let first = !endpoint.reported;
         endpoint.silence = 0;
         endpoint.clock = Some((report.clock_ms, now));
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -27,6 +27,8 @@
     pub quarantine_max_ms: u64,
     /// How long an endpoint that refuses starts or can't be reached gets none, in milliseconds.
     pub unwell_ms: u64,
+    /// Holds without an answer in a row after which leases are no longer renewed.
+    pub silence_max: u32,
     /// How long a run may show no progress before it is moved, in milliseconds.
     pub stall_ms: u64,
     /// How long reserved room waits for its preempted holders, in milliseconds.
@@ -50,6 +52,7 @@
             quarantine_ms: 3_000,
             quarantine_max_ms: 24_000,
             unwell_ms: 1_000,
+            silence_max: 6,
             stall_ms: 2_500,
             claim_ms: 2_000,
             reservations: 2,
--- a/src/lead/tend.rs
+++ b/src/lead/tend.rs
@@ -128,7 +128,7 @@
                 (hold.wait.is_zero() && hold.until_ms.is_some()).then_some(SETTLE_PAUSE)
             }
             Err(error) => {
-                progress.dispatcher.borrow_mut().silent(&endpoint, &error.to_string());
+                progress.dispatcher.borrow_mut().silent(&endpoint, &error);
                 Some(SILENT_PAUSE)
             }
         };
--- /dev/null
+++ b/tests/dispatch/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the dispatcher.
+
+mod doubt;
+mod gang;
+mod takeover;
+mod world;
--- /dev/null
+++ b/tests/dispatch/takeover.rs
@@ -0,0 +1,77 @@
+//! What a new leader must find.
+
+use yuccaridge::graph::Phase;
+use yuccaridge::port::Outcome;
+
+use crate::world::{World, name, step, submission};
+
+/// Guards against starting a task again whose end its endpoint was allowed to forget.
+#[test]
+fn an_end_is_stored_before_it_may_be_forgotten() {
+    let mut world = World::new(1);
+    world.submit("job", "batch", vec![step(2, 1, 1_000)]);
+    let starts = world.pass(50);
+    world.confirm(&starts);
+
+    world.report("e0", &[("job.0.0.1", 1, 50.0)], &[(1, "job.0.0.0", 1, Outcome::Done)]);
+    world.pass(50);
+
+    let done: Vec<bool> = world.job("job").record.units.iter().map(|unit| unit.done).collect();
+    assert_eq!(done, [true, false]);
+    assert_eq!(world.seen["e0"], 1);
+}
+
+/// Guards against a second run beside one that a former leader started on an endpoint that can't be asked.
+#[test]
+fn a_run_that_cannot_be_asked_about_is_not_started_again() {
+    let mut first = World::new(2);
+    first.submit("job", "batch", vec![step(1, 1, 1_000)]);
+    let starts = first.pass(50);
+    let record = first.job("job").record.clone();
+    let endpoint = starts[0].endpoint.clone();
+
+    let mut second = World::new(0);
+    for at in ["e0", "e1"] {
+        let entry = crate::world::entry("10.0.0.1:1", "r0");
+        second.dispatcher.endpoint(&name(at), Some(entry), second.now);
+        if *endpoint != *at {
+            second.report(at, &[], &[]);
+        }
+    }
+    let again = submission("batch", vec![step(1, 1, 1_000)]);
+    second
+        .dispatcher
+        .submit(&name("job"), again, Some(&record), Phase::Running, 0, second.now);
+
+    assert_eq!(second.pass(5_000), []);
+
+    // Its endpoint answers at last and does not list it: orders of the former leader are void there.
+    second.report(&endpoint, &[], &[]);
+    let starts = second.pass(50);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].run, 2);
+}
+
+/// Guards against losing work because the leader changed.
+#[test]
+fn a_run_that_goes_on_is_adopted() {
+    let mut first = World::new(1);
+    first.submit("job", "batch", vec![step(1, 1, 1_000)]);
+    first.pass(50);
+    let record = first.job("job").record.clone();
+
+    let mut second = World::new(0);
+    let again = submission("batch", vec![step(1, 1, 1_000)]);
+    second
+        .dispatcher
+        .submit(&name("job"), again, Some(&record), Phase::Running, 0, second.now);
+    let entry = crate::world::entry("10.0.0.1:1", "r0");
+    second.dispatcher.endpoint(&name("e0"), Some(entry), second.now);
+    second.report("e0", &[("job.0.0.0", 1, 50.0)], &[]);
+
+    assert_eq!(second.pass(500), []);
+    assert_eq!(second.stops, []);
+    second.report("e0", &[], &[(1, "job.0.0.0", 1, Outcome::Done)]);
+    second.pass(50);
+    assert_eq!(second.job("job").phase, Phase::Done);
+}
