--- a/tests/dispatch/doubt.rs
+++ b/tests/dispatch/doubt.rs
@@ -1,5 +1,7 @@
 //! Orders and endpoints without an answer.
 
+use std::sync::Arc;
+
 use yuccaridge::port::OrderError;
 
 use crate::world::{World, name, step};
@@ -15,7 +17,7 @@
     world.submit("job", "batch", vec![step(1, 1, 1_000)]);
     let starts = world.pass(50);
     world.confirm(&starts);
-    let lost = starts[0].endpoint.clone();
+    let lost = Arc::clone(&starts[0].endpoint);
     world.dispatcher.endpoint(&lost, None, world.now);
 
     let mut again = Vec::new();
@@ -39,7 +41,7 @@
     world.submit("job", "batch", vec![step(1, 1, 60_000)]);
     let starts = world.pass(50);
     world.confirm(&starts);
-    let lost = starts[0].endpoint.clone();
+    let lost = Arc::clone(&starts[0].endpoint);
     world.pass(2_000);
     assert!(world.dispatcher.hold(&lost, world.now).is_some());
     world.dispatcher.silent(&lost, &OrderError::Unknown("cut".to_owned()));
--- a/tests/dispatch/takeover.rs
+++ b/tests/dispatch/takeover.rs
@@ -1,5 +1,7 @@
 //! What a new leader must find.
 
+use std::sync::Arc;
+
 use yuccaridge::graph::Phase;
 use yuccaridge::port::Outcome;
 
@@ -28,7 +30,7 @@
     first.submit("job", "batch", vec![step(1, 1, 1_000)]);
     let starts = first.pass(50);
     let record = first.job("job").record.clone();
-    let endpoint = starts[0].endpoint.clone();
+    let endpoint = Arc::clone(&starts[0].endpoint);
 
     let mut second = World::new(0);
     for at in ["e0", "e1"] {
