--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -42,58 +42,96 @@
 }
 
 fn plan_group(sites: &[Site], victims: &[Victim], demand: &Demand<'_>, group: &[usize]) -> Option<(f64, Plan)> {
-    let mut free: BTreeMap<usize, Room> = group.iter().map(|at| (*at, sites[*at].open())).collect();
     let mut stopped = BTreeSet::new();
-    let mut cost = 0.0;
     loop {
-        let mut taken = BTreeMap::new();
-        let mut total = 0;
-        for (at, room) in &free {
-            let times = demand.times(&sites[*at], room).min(demand.count - total);
-            if times == 0 {
-                continue;
-            }
-            taken.insert(*at, times);
-            total += times;
+        if fit(sites, victims, demand, group, &stopped).is_some() {
+            break;
         }
-        if total == demand.count {
-            return Some((cost, (taken, stopped)));
-        }
-        // Next, the victim that makes most room for its cost.
-        let mut next: Option<(f64, usize)> = None;
-        for (at, victim) in victims.iter().enumerate() {
-            if stopped.contains(&at) {
-                continue;
-            }
-            let mut gain = 0.0;
-            for (site, room) in &victim.rooms {
-                let Some(have) = free.get(site) else { continue };
-                let before = demand.times(&sites[*site], have);
-                let after = demand.times(&sites[*site], &have.plus(room));
-                gain += f64::from(after - before.min(after));
-                // Room that is too small by itself still helps together with other victims.
-                if after < demand.count && (demand.spread == 0 || after < demand.spread) {
-                    gain += 0.1 * share(room, &demand.need);
-                }
-            }
-            if gain <= 0.0 {
-                continue;
-            }
-            let price = (1.0 + victim.cost) / gain;
-            if next.is_some_and(|(least, _)| least <= price) {
-                continue;
-            }
-            next = Some((price, at));
+        let free = freed(sites, victims, group, &stopped);
+        stopped.insert(next(sites, victims, demand, &free, &stopped)?);
+    }
+    // A later choice may have made an earlier one needless; the dearest are spared first.
+    let mut dearest: Vec<usize> = stopped.iter().copied().collect();
+    dearest.sort_by(|a, b| victims[*b].cost.total_cmp(&victims[*a].cost));
+    for at in dearest {
+        stopped.remove(&at);
+        if fit(sites, victims, demand, group, &stopped).is_none() {
+            stopped.insert(at);
         }
-        let (_, at) = next?;
-        stopped.insert(at);
-        cost += 1.0 + victims[at].cost;
-        for (site, room) in &victims[at].rooms {
+    }
+    let cost = stopped.iter().map(|at| 1.0 + victims[*at].cost).sum();
+    let taken = fit(sites, victims, demand, group, &stopped)?;
+    Some((cost, (taken, stopped)))
+}
+
+/// Room on the sites of a group once some victims have stopped.
+fn freed(sites: &[Site], victims: &[Victim], group: &[usize], stopped: &BTreeSet<usize>) -> BTreeMap<usize, Room> {
+    let mut free: BTreeMap<usize, Room> = group.iter().map(|at| (*at, sites[*at].open())).collect();
+    for at in stopped {
+        for (site, room) in &victims[*at].rooms {
             if let Some(have) = free.get_mut(site) {
                 *have = have.plus(room);
             }
         }
     }
+    free
+}
+
+/// Tasks that each site of a group takes once some victims have stopped; `None` if they do not all fit.
+fn fit(
+    sites: &[Site],
+    victims: &[Victim],
+    demand: &Demand<'_>,
+    group: &[usize],
+    stopped: &BTreeSet<usize>,
+) -> Option<BTreeMap<usize, u32>> {
+    let mut taken = BTreeMap::new();
+    let mut total = 0;
+    for (at, room) in freed(sites, victims, group, stopped) {
+        let times = demand.times(&sites[at], &room).min(demand.count - total);
+        if times == 0 {
+            continue;
+        }
+        taken.insert(at, times);
+        total += times;
+    }
+    (total == demand.count).then_some(taken)
+}
+
+/// The victim that makes most room for its cost.
+fn next(
+    sites: &[Site],
+    victims: &[Victim],
+    demand: &Demand<'_>,
+    free: &BTreeMap<usize, Room>,
+    stopped: &BTreeSet<usize>,
+) -> Option<usize> {
+    let mut best: Option<(f64, usize)> = None;
+    for (at, victim) in victims.iter().enumerate() {
+        if stopped.contains(&at) {
+            continue;
+        }
+        let mut gain = 0.0;
+        for (site, room) in &victim.rooms {
+            let Some(have) = free.get(site) else { continue };
+            let before = demand.times(&sites[*site], have);
+            let after = demand.times(&sites[*site], &have.plus(room));
+            gain += f64::from(after - before.min(after));
+            // Room that is too small by itself still helps together with other victims.
+            if demand.times(&sites[*site], &Room::ALL) > after {
+                gain += 0.1 * share(room, &demand.need);
+            }
+        }
+        if gain <= 0.0 {
+            continue;
+        }
+        let price = (1.0 + victim.cost) / gain;
+        if best.is_some_and(|(least, _)| least <= price) {
+            continue;
+        }
+        best = Some((price, at));
+    }
+    best.map(|(_, at)| at)
 }
 
 /// Part of `need` that `room` covers, at most 1.
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -612,7 +612,7 @@
                 labels: endpoint.entry.labels.clone(),
                 free: endpoint.free(),
                 held: Room::default(),
-                speed: endpoint.speed,
+                speed: endpoint.pace.speed(),
                 promised: 0,
             });
         }
@@ -680,7 +680,11 @@
             if let Some(claim) = &claim {
                 hold_back(&mut sites, claim, true);
             }
-            let demand = self.demand(id, position, &rank, now);
+            let mut demand = self.demand(id, position, &rank, now);
+            if rank.is_urgent() {
+                // On a slow endpoint it would be late, and would keep its room for longer.
+                demand.least_speed = place::slow_below(&sites);
+            }
             if let Some(chosen) = place::place(&sites, &demand) {
                 self.claims.remove(&(Arc::clone(id), position));
                 self.start(id, position, &mut sites, &chosen, now);
@@ -706,7 +710,25 @@
                 continue;
             }
             if rank.is_urgent() {
-                self.preempt(id, position, &mut sites, &rank, now);
+                let owed = self.is_owed(id);
+                let mut plan = self.plan_claim(&sites, &demand, false, now).filter(|(_, victims)| {
+                    let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
+                    owed || cost <= self.claim_limit(id, position)
+                });
+                demand.least_speed = 0.0;
+                let slow = if plan.is_none() { place::place(&sites, &demand) } else { None };
+                if owed && plan.is_none() && slow.is_none() {
+                    plan = self.plan_claim(&sites, &demand, true, now);
+                    if plan.is_none() && demand.adjacent {
+                        demand.adjacent = false;
+                        plan = self.plan_claim(&sites, &demand, true, now);
+                    }
+                }
+                if let Some((claim, victims)) = plan {
+                    self.preempt(id, position, &mut sites, claim, victims, now);
+                } else if let Some(chosen) = slow {
+                    self.start(id, position, &mut sites, &chosen, now);
+                }
             } else if demand.count > 1 && *reserved < self.tuning.reservations {
                 *reserved += 1;
                 self.reserve(id, position, &mut sites, &rank, now);
@@ -750,6 +772,7 @@
             peers,
             avoid: &unit.avoid,
             urgent: rank.is_urgent(),
+            least_speed: 0.0,
             ends_at: now + step.estimate_ms,
         };
         let whole: Vec<(Site, Room)> = self
@@ -823,38 +846,78 @@
         self.dirty.insert(Arc::clone(id));
     }
 
-    /// Stops what is cheapest so that an urgent unit can start.
-    fn preempt(&mut self, id: &Arc<str>, position: usize, sites: &mut [Site], rank: &Rank, now: u64) {
-        let demand = self.demand(id, position, rank, now);
-        let victims = self.victims(sites, now);
-        let Some((taken, stopped)) = claim::plan(sites, &victims, &demand) else {
-            log::debug!(job:% = id, unit = position; "no room even by preemption");
-            return;
-        };
-        let need = demand.need;
+    /// Accelerators that the urgent jobs of a team take or ask for.
+    fn claimed(&self, team: &str) -> u64 {
+        let mut claimed = 0;
+        for job in self.jobs.values() {
+            if job.submission.team != team || job.phase.is_final() || !job.is_urgent() {
+                continue;
+            }
+            claimed += job.claimed();
+        }
+        claimed
+    }
+
+    /// Whether the guarantee of its team covers a job.
+    fn is_owed(&self, id: &Arc<str>) -> bool {
+        let team = &*self.jobs[id].submission.team;
+        let guaranteed = self.policy.teams.get(team).map_or(0, |team| team.guaranteed);
+        self.claimed(team) <= guaranteed
+    }
+
+    /// Most work, in core-seconds, that may be lost so that a unit can start at once without a guarantee.
+    fn claim_limit(&self, id: &Arc<str>, position: usize) -> f64 {
+        let job = &self.jobs[id];
+        let seconds = job.step(position).estimate_ms as f64 / 1_000.0;
+        self.tuning.claim_share * seconds * weight(&job.need(position)) * f64::from(job.units[position].size)
+    }
+
+    /// What is cheapest to stop so that an urgent unit can start, and the room to keep for it; `borrowed` adds the urgent
+    /// jobs of teams that take more than their guarantee.
+    fn plan_claim(&self, sites: &[Site], demand: &Demand<'_>, borrowed: bool, now: u64) -> Option<(Claim, Vec<Victim>)> {
+        let mut victims = self.victims(sites, borrowed, now);
+        let (taken, stopped) = claim::plan(sites, &victims, demand)?;
         let claim = Claim {
             sites: taken
                 .iter()
                 .map(|(at, times)| (Arc::clone(&sites[*at].name), *times))
                 .collect(),
-            need,
+            need: demand.need,
             since: now,
         };
+        let mut at = 0;
+        victims.retain(|_| {
+            at += 1;
+            stopped.contains(&(at - 1))
+        });
+        Some((claim, victims))
+    }
+
+    /// Keeps room for an urgent unit and stops what is in its way.
+    fn preempt(
+        &mut self,
+        id: &Arc<str>,
+        position: usize,
+        sites: &mut [Site],
+        claim: Claim,
+        victims: Vec<Victim>,
+        now: u64,
+    ) {
         hold_back(sites, &claim, false);
         self.claims.insert((Arc::clone(id), position), claim);
-        for at in stopped {
-            let (job, unit) = victims[at].unit.clone();
-            log::info!(job:% = id, victim:% = job, unit, cost = victims[at].cost; "preempts");
+        for victim in victims {
+            let (job, unit) = victim.unit;
+            log::info!(job:% = id, victim:% = job, unit, cost = victim.cost; "preempts");
             self.stop_unit(&job, unit, "preempted", now);
         }
     }
 
     /// Units that may be stopped for an urgent one.
-    fn victims(&self, sites: &[Site], now: u64) -> Vec<Victim> {
+    fn victims(&self, sites: &[Site], borrowed: bool, now: u64) -> Vec<Victim> {
         let index: BTreeMap<&Arc<str>, usize> = sites.iter().enumerate().map(|(at, site)| (&site.name, at)).collect();
         let mut victims = Vec::new();
         for (id, job) in &self.jobs {
-            if job.phase.is_final() || job.queue.as_ref().is_none_or(|queue| queue.priority == 0) {
+            if job.queue.is_none() || job.is_urgent() && !(borrowed && !self.is_owed(id)) {
                 continue;
             }
             for (position, unit) in job.units.iter().enumerate() {
@@ -878,10 +941,9 @@
                     _ if job.step(position).checkpoints => 300,
                     _ => now.saturating_sub(unit.placed_at),
                 };
-                let weight = need.millicores as f64 / 1_000.0 + 8.0 * need.accelerators as f64;
                 victims.push(Victim {
                     unit: (Arc::clone(id), position),
-                    cost: at_risk_ms as f64 / 1_000.0 * weight * unit.members.len() as f64,
+                    cost: at_risk_ms as f64 / 1_000.0 * weight(&need) * unit.members.len() as f64,
                     rooms,
                 });
             }
@@ -933,6 +995,11 @@
     }
 }
 
+/// Core-seconds that a task with this room does in a second; an accelerator counts as eight cores.
+fn weight(need: &Room) -> f64 {
+    need.millicores as f64 / 1_000.0 + 8.0 * need.accelerators as f64
+}
+
 /// Keeps the room of a claim on its sites, or gives it back.
 fn hold_back(sites: &mut [Site], claim: &Claim, back: bool) {
     for site in sites {
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Tuning;
+use super::{Pace, Tuning};
 use crate::port::{EndpointEntry, Room};
 
 /// Time for an order on its way, added to bounds of leases, in milliseconds.
@@ -69,8 +69,8 @@
     pub quarantine_ms: u64,
     /// Holds without an answer since the last answer.
     pub silence: u32,
-    /// Speed relative to the caller's estimates.
-    pub speed: f64,
+    /// Learned speed.
+    pub pace: Pace,
 }
 
 impl Endpoint {
@@ -92,7 +92,7 @@
             shunned_until: 0,
             quarantine_ms: 0,
             silence: 0,
-            speed: 1.0,
+            pace: Pace::default(),
         }
     }
 
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Unit, UnitState};
+use super::{StepPace, Unit, UnitState};
 use crate::graph::{JobRecord, Phase, Step, Submission, TaskName};
 use crate::port::{Queue, Room};
 
@@ -21,6 +21,8 @@
     pub units: Vec<Unit>,
     /// What callers are told.
     pub phase: Phase,
+    /// Measured speeds of each step.
+    pub paces: Vec<StepPace>,
     /// When it was accepted, on the dispatcher's clock, in milliseconds.
     pub accepted: u64,
 }
@@ -55,6 +57,7 @@
         Self {
             payload: Arc::from(&*submission.graph.payload),
             id,
+            paces: vec![StepPace::default(); submission.graph.steps.len()],
             submission,
             queue: None,
             units,
@@ -68,6 +71,17 @@
         &self.submission.graph.steps[self.units[unit].step]
     }
 
+    /// Whether it may preempt others.
+    pub fn is_urgent(&self) -> bool {
+        self.queue.as_ref().is_some_and(|queue| queue.priority == 0)
+    }
+
+    /// Accelerators of all steps of its widest occurrence, as counted against a guarantee.
+    pub fn claimed(&self) -> u64 {
+        let steps = &self.submission.graph.steps;
+        steps.iter().map(|step| u64::from(step.count) * step.accelerators).sum()
+    }
+
     /// Name of a task of a unit.
     pub fn task(&self, unit: usize, member: u32) -> Arc<str> {
         let unit = &self.units[unit];
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -10,7 +10,7 @@
 use crate::port::Room;
 
 /// Share of the best speed below which an endpoint counts as slow; endpoints differ by factors from 2 to 4.
-const SLOW: f64 = 0.7;
+const SLOW: f64 = 0.55;
 
 /// What a unit asks for.
 #[derive(Debug)]
@@ -35,6 +35,8 @@
     pub avoid: &'a BTreeSet<Arc<str>>,
     /// Fast endpoints come first.
     pub urgent: bool,
+    /// Endpoints below this speed are left out.
+    pub least_speed: f64,
     /// When it would end, in milliseconds.
     pub ends_at: u64,
 }
@@ -42,7 +44,7 @@
 impl Demand<'_> {
     /// How many of its tasks an endpoint could take with `free` room.
     pub fn times(&self, site: &Site, free: &Room) -> u32 {
-        if !site.has(self.label) || self.avoid.contains(&site.name) {
+        if site.speed < self.least_speed || !site.has(self.label) || self.avoid.contains(&site.name) {
             return 0;
         }
         if self.near && !self.rack.is_empty() && !site.is_in(self.rack) {
@@ -75,14 +77,14 @@
     racks
 }
 
-/// Highest speed among the sites.
-pub(super) fn best_speed(sites: &[Site]) -> f64 {
-    sites.iter().map(|site| site.speed).fold(0.0, f64::max)
+/// Speed below which a site is slow.
+pub(super) fn slow_below(sites: &[Site]) -> f64 {
+    sites.iter().map(|site| site.speed).fold(0.0, f64::max) * SLOW
 }
 
 /// Site of each member, or `None` if there is no room now.
 pub(super) fn place(sites: &[Site], demand: &Demand<'_>) -> Option<Vec<usize>> {
-    let fast = best_speed(sites) * SLOW;
+    let fast = slow_below(sites);
     if demand.count == 1 {
         return single(sites, demand, fast).map(|at| vec![at]);
     }
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -7,6 +7,9 @@
 use crate::graph::Phase;
 use crate::port::{End, OrderError, Outcome, Report, Running};
 
+/// Progress, in percent, over which a speed is measured; reports give whole percents.
+const MEASURE_FROM: f64 = 10.0;
+
 impl Dispatcher {
     /// A hold had no answer.
     pub fn silent(&mut self, name: &Arc<str>, error: &OrderError) {
@@ -89,6 +92,7 @@
                 run: *run,
             }));
         }
+        let mut measured = Vec::new();
         for ((task, run), occupant) in believed {
             let Some(job) = self.jobs.get_mut(&occupant.job) else {
                 continue;
@@ -132,8 +136,14 @@
             if found.percent > member.percent {
                 member.percent = found.percent;
                 member.moved_at = now;
-                if member.base.is_none() && found.percent < 100.0 {
+                let (from, since) = *member.base.get_or_insert((found.percent, now));
+                let progress = found.percent - from;
+                // A member at 100 percent may have been there for some time.
+                if progress >= MEASURE_FROM && found.percent < 100.0 && estimate > 0 && now > since {
                     member.base = Some((found.percent, now));
+                    let duration = (now - since) as f64 * 100.0 / progress;
+                    let log = (estimate as f64 / duration).ln();
+                    measured.push((Arc::clone(&occupant.job), unit.step, log));
                 }
             }
             let stalled = !lasting && active && member.state == MemberState::Running;
@@ -144,6 +154,21 @@
                 self.stop_unit(&occupant.job, occupant.unit, "no progress", now);
             }
         }
+        for (job, step, log) in measured {
+            self.learn(name, &job, step, log);
+        }
+    }
+
+    /// Learns the speed of an endpoint from the progress of a run.
+    fn learn(&mut self, name: &Arc<str>, id: &Arc<str>, step: usize, log: f64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let endpoints = &mut self.endpoints;
+        let pace = |endpoint: &Arc<str>| endpoints.get(endpoint).map_or(0.0, |found| found.pace.log);
+        for (endpoint, log, weight) in job.paces[step].take(name, log, pace) {
+            if let Some(endpoint) = endpoints.get_mut(&endpoint) {
+                endpoint.pace.learn(log, weight);
+            }
+        }
     }
 
     /// Takes in the end of a run.
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -31,6 +31,8 @@
     pub silence_max: u32,
     /// How long a run may show no progress before it is moved, in milliseconds.
     pub stall_ms: u64,
+    /// Work that may be lost to a claim beyond a guarantee, as a share of the work of what claims.
+    pub claim_share: f64,
     /// How long reserved room waits for its preempted holders, in milliseconds.
     pub claim_ms: u64,
     /// Blocked gangs for which room is kept free at the same time.
@@ -54,6 +56,7 @@
             unwell_ms: 1_000,
             silence_max: 6,
             stall_ms: 2_500,
+            claim_share: 0.3,
             claim_ms: 2_000,
             reservations: 2,
         }
--- a/src/port/room.rs
+++ b/src/port/room.rs
@@ -12,6 +12,13 @@
 }
 
 impl Room {
+    /// More than anything needs.
+    pub const ALL: Self = Self {
+        millicores: u64::MAX,
+        memory_mb: u64::MAX,
+        accelerators: u64::MAX,
+    };
+
     /// Whether `need` fits.
     pub fn fits(&self, need: &Self) -> bool {
         self.millicores >= need.millicores && self.memory_mb >= need.memory_mb && self.accelerators >= need.accelerators
