Let a covered claim wait for room before it takes dear one

Change: a claim that its guarantee covers may cost any amount only once it would otherwise be met late; a claim keeps the relaxed demand it was planned with.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -6,6 +6,7 @@
 use super::claim::{self, Victim};
 use super::endpoint::Occupant;
 use super::order::Rank;
+use super::pace;
 use super::place::{self, Demand};
 use super::{
     Effect, Endpoint, Hold, Job, JobWrite, Member, MemberState, Site, Snapshot, Start, Stop, Tuning, UnitState,
@@ -22,6 +23,10 @@
     /// Endpoints and the tasks that each is to take.
     sites: BTreeMap<Arc<str>, u32>,
     need: Room,
+    /// The unit is to be in one rack.
+    adjacent: bool,
+    /// Endpoints below this speed are left out.
+    least_speed: f64,
     since: u64,
 }
 
@@ -37,6 +42,8 @@
     starts: Vec<Start>,
     pub(super) effects: Vec<Effect>,
     claims: BTreeMap<(Arc<str>, usize), Claim>,
+    /// Logarithm of the speed of a typical endpoint.
+    pub(super) typical: f64,
     /// Something changed that may let a waiting unit start.
     pub(super) changed: bool,
     next_round: u64,
@@ -59,6 +66,7 @@
             starts: Vec::new(),
             effects: Vec::new(),
             claims: BTreeMap::new(),
+            typical: 0.0,
             changed: true,
             next_round: 0,
             since: now,
@@ -612,7 +620,7 @@
                 labels: endpoint.entry.labels.clone(),
                 free: endpoint.free(),
                 held: Room::default(),
-                speed: endpoint.pace.speed(),
+                speed: endpoint.pace.estimate(self.typical).exp(),
                 promised: 0,
             });
         }
@@ -621,6 +629,7 @@
 
     /// Gives room to waiting units, in order.
     fn round(&mut self, now: u64, wall_ms: u64) {
+        self.typical = pace::typical(self.endpoints.values().map(|endpoint| &endpoint.pace));
         self.claims.retain(|_, claim| claim.since + self.tuning.claim_ms > now);
         let mut order: Vec<(Rank, Arc<str>)> = Vec::new();
         for (id, job) in &self.jobs {
@@ -681,7 +690,10 @@
                 hold_back(&mut sites, claim, true);
             }
             let mut demand = self.demand(id, position, &rank, now);
-            if rank.is_urgent() {
+            if let Some(claim) = &claim {
+                demand.adjacent = claim.adjacent;
+                demand.least_speed = claim.least_speed;
+            } else if rank.is_urgent() {
                 // On a slow endpoint it would be late, and would keep its room for longer.
                 demand.least_speed = place::slow_below(&sites);
             }
@@ -710,7 +722,7 @@
                 continue;
             }
             if rank.is_urgent() {
-                let owed = self.is_owed(id);
+                let owed = self.is_owed(id) && self.is_pressing(id, now);
                 let mut plan = self.plan_claim(&sites, &demand, false, now).filter(|(_, victims)| {
                     let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
                     owed || cost <= self.claim_limit(id, position)
@@ -842,7 +854,11 @@
         if job.phase == Phase::Queued {
             job.phase = Phase::Running;
         }
-        log::info!(job:% = id, unit = position, run, size, waited_ms = now.saturating_sub(job.accepted); "unit placed");
+        let priority = job.queue.as_ref().map_or(0, |queue| queue.priority);
+        let step = job.step(position);
+        let (saves, cores, estimate_ms) = (step.checkpoints, weight(&need), step.estimate_ms);
+        let waited_ms = now.saturating_sub(job.accepted);
+        log::info!(job:% = id, unit = position, run, size, priority, saves, cores, estimate_ms, waited_ms; "unit placed");
         self.dirty.insert(Arc::clone(id));
     }
 
@@ -865,6 +881,11 @@
         self.claimed(team) <= guaranteed
     }
 
+    /// Whether a guarantee would be met late if room were not made now, whatever it costs.
+    fn is_pressing(&self, id: &Arc<str>, now: u64) -> bool {
+        now.saturating_sub(self.jobs[id].accepted) + self.tuning.claim_lead_ms >= self.tuning.reclaim_ms
+    }
+
     /// Most work, in core-seconds, that may be lost so that a unit can start at once without a guarantee.
     fn claim_limit(&self, id: &Arc<str>, position: usize) -> f64 {
         let job = &self.jobs[id];
@@ -883,6 +904,8 @@
                 .map(|(at, times)| (Arc::clone(&sites[*at].name), *times))
                 .collect(),
             need: demand.need,
+            adjacent: demand.adjacent,
+            least_speed: demand.least_speed,
             since: now,
         };
         let mut at = 0;
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -26,19 +26,35 @@
 }
 
 impl Pace {
-    /// Speed relative to the callers' estimates.
-    pub fn speed(&self) -> f64 {
-        self.log.exp()
+    /// Logarithm of the speed, drawn towards that of a typical endpoint while little is known.
+    pub fn estimate(&self, typical: f64) -> f64 {
+        (self.log * self.seen + typical * PRIOR) / (self.seen + PRIOR)
     }
 
     /// Takes in that the speed was found to be `log`, with a weight.
-    pub fn learn(&mut self, log: f64, weight: f64) {
+    pub fn learn(&mut self, log: f64, weight: f64, typical: f64) {
+        if self.seen <= 0.0 {
+            self.log = typical;
+        }
         let gain = weight * (1.0 / (self.seen + PRIOR + 1.0)).max(WEIGHT_MIN);
         self.log += gain * (log - self.log);
         self.seen += weight;
     }
 }
 
+/// Logarithm of the speed of a typical endpoint: the median of those that are known.
+pub(super) fn typical<'p, I>(paces: I) -> f64
+where
+    I: Iterator<Item = &'p Pace>,
+{
+    let mut logs: Vec<f64> = paces.filter(|pace| pace.seen >= 1.0).map(|pace| pace.log).collect();
+    if logs.is_empty() {
+        return 0.0;
+    }
+    logs.sort_by(f64::total_cmp);
+    logs[logs.len() / 2]
+}
+
 /// Latest measurement on each endpoint of a step.
 #[derive(Debug, Default, Clone)]
 pub struct StepPace {
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -163,10 +163,11 @@
     fn learn(&mut self, name: &Arc<str>, id: &Arc<str>, step: usize, log: f64) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let endpoints = &mut self.endpoints;
-        let pace = |endpoint: &Arc<str>| endpoints.get(endpoint).map_or(0.0, |found| found.pace.log);
+        let typical = self.typical;
+        let pace = |endpoint: &Arc<str>| endpoints.get(endpoint).map_or(typical, |found| found.pace.estimate(typical));
         for (endpoint, log, weight) in job.paces[step].take(name, log, pace) {
             if let Some(endpoint) = endpoints.get_mut(&endpoint) {
-                endpoint.pace.learn(log, weight);
+                endpoint.pace.learn(log, weight, typical);
             }
         }
     }
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -31,6 +31,11 @@
     pub silence_max: u32,
     /// How long a run may show no progress before it is moved, in milliseconds.
     pub stall_ms: u64,
+    /// Time in which a guarantee has to be met, in milliseconds; from the site.
+    pub reclaim_ms: u64,
+    /// Time from a claim to the start of what claims, in milliseconds: the stop of its victims, their reports, a commit
+    /// and the starts.
+    pub claim_lead_ms: u64,
     /// Work that may be lost to a claim beyond a guarantee, as a share of the work of what claims.
     pub claim_share: f64,
     /// How long reserved room waits for its preempted holders, in milliseconds.
@@ -56,6 +61,8 @@
             unwell_ms: 1_000,
             silence_max: 6,
             stall_ms: 2_500,
+            reclaim_ms: 2_700,
+            claim_lead_ms: 1_000,
             claim_share: 0.3,
             claim_ms: 2_000,
             reservations: 2,
