--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -725,7 +725,7 @@
                 let owed = self.is_owed(id) && self.is_pressing(id, now);
                 let mut plan = self.plan_claim(&sites, &demand, false, now).filter(|(_, victims)| {
                     let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
-                    owed || cost <= self.claim_limit(id, position)
+                    owed || cost <= self.claim_limit(id, position, now)
                 });
                 demand.least_speed = 0.0;
                 let slow = if plan.is_none() { place::place(&sites, &demand) } else { None };
@@ -886,11 +886,14 @@
         now.saturating_sub(self.jobs[id].accepted) + self.tuning.claim_lead_ms >= self.tuning.reclaim_ms
     }
 
-    /// Most work, in core-seconds, that may be lost so that a unit can start at once without a guarantee.
-    fn claim_limit(&self, id: &Arc<str>, position: usize) -> f64 {
+    /// Most work, in core-seconds, that may be lost so that a unit can start; rises while it waits, since a late urgent job
+    /// is worth much less.
+    fn claim_limit(&self, id: &Arc<str>, position: usize, now: u64) -> f64 {
         let job = &self.jobs[id];
         let seconds = job.step(position).estimate_ms as f64 / 1_000.0;
-        self.tuning.claim_share * seconds * weight(&job.need(position)) * f64::from(job.units[position].size)
+        let waited = now.saturating_sub(job.accepted) as f64 / 1_000.0;
+        let share = self.tuning.claim_share + self.tuning.claim_rise * waited.min(1.0);
+        share * seconds * weight(&job.need(position)) * f64::from(job.units[position].size)
     }
 
     /// What is cheapest to stop so that an urgent unit can start, and the room to keep for it; `borrowed` adds the urgent
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -36,8 +36,10 @@
     /// Time from a claim to the start of what claims, in milliseconds: the stop of its victims, their reports, a commit
     /// and the starts.
     pub claim_lead_ms: u64,
-    /// Work that may be lost to a claim beyond a guarantee, as a share of the work of what claims.
+    /// Work that may be lost to a claim, as a share of the work of what claims.
     pub claim_share: f64,
+    /// What is added to that share over the first second of waiting.
+    pub claim_rise: f64,
     /// How long reserved room waits for its preempted holders, in milliseconds.
     pub claim_ms: u64,
     /// Blocked gangs for which room is kept free at the same time.
@@ -63,7 +65,8 @@
             stall_ms: 2_500,
             reclaim_ms: 2_700,
             claim_lead_ms: 1_000,
-            claim_share: 0.3,
+            claim_share: 1.0,
+            claim_rise: 3.0,
             claim_ms: 2_000,
             reservations: 2,
         }
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -99,15 +99,12 @@
     E: Entries,
 {
     while !candidate.stop.is_stopping() {
-        wait_for_vacancy(&candidate).await;
-        if candidate.stop.is_stopping() {
-            return;
-        }
         if candidate.view.policy().is_none() {
             sleep(RETRY).await;
             continue;
         }
-        match take(&candidate).await {
+        let Some(fence) = wait_for_vacancy(&candidate).await else { return };
+        match take(&candidate, fence).await {
             Ok(Some(seat)) => reign(&candidate, seat).await,
             Ok(None) => {}
             Err(error) => {
@@ -118,8 +115,8 @@
     }
 }
 
-/// Returns when the lead seems to be free.
-async fn wait_for_vacancy<R, O, E>(candidate: &Candidate<R, O, E>)
+/// Waits until the lead seems to be free; returns the fencing token of the last leader, or `None` if the instance stops.
+async fn wait_for_vacancy<R, O, E>(candidate: &Candidate<R, O, E>) -> Option<u64>
 where
     R: Rows,
 {
@@ -159,12 +156,14 @@
                 let Some((beat, since)) = &seen else { continue };
                 let age = clock_ms.saturating_sub(*since);
                 let vacant = match beat {
+                    // A former life of this process held it, and that is over.
+                    Some(beat) if *beat.holder == *candidate.name => true,
                     Some(beat) if !beat.released => age >= candidate.timing.lapse_ms + candidate.timing.defer_ms,
                     _ => age >= candidate.timing.defer_ms,
                 };
                 if vacant {
                     log::info!(age_ms = age, holder:? = beat.as_ref().map(|beat| &beat.holder); "the lead is free");
-                    return;
+                    return Some(beat.as_ref().map_or(0, |beat| beat.fence));
                 }
                 if beat.as_ref().is_none_or(|beat| beat.released) {
                     sleep(Duration::from_millis(candidate.timing.defer_ms.saturating_sub(age))).await;
@@ -178,15 +177,20 @@
             }
         }
     }
+    None
 }
 
 /// Tries to take the lead; `None` if another instance was faster.
-async fn take<R, O, E>(candidate: &Candidate<R, O, E>) -> Result<Option<Seat>, StoreError>
+async fn take<R, O, E>(candidate: &Candidate<R, O, E>, last: u64) -> Result<Option<Seat>, StoreError>
 where
     R: Rows,
 {
     let found = read_ledger(&candidate.rows).await?;
     let (fence, version) = found.map_or((0, 0), |(entry, version)| (entry.fence, version));
+    // Another instance was faster.
+    if fence > last {
+        return Ok(None);
+    }
     let fence = fence + 1;
     let beat = Beat {
         holder: candidate.name.to_string(),
