Never count one room for two claims; learn work by queue; split the dispatcher

Estimates of callers are off by a factor, so order and reservations went by the wrong durations; a new leader knew no speeds. Change: stopping runs are room that a claim can count on once; work is learned by queue and combined with the estimate by how far each was off; what was learned is stored every 3 s. dispatcher.rs becomes five files by what they do.

--- /dev/null
+++ b/src/dispatch/answers.rs
@@ -0,0 +1,270 @@
+//! Answers to orders, and the ends of runs.
+
+use std::sync::Arc;
+
+use super::{Dispatcher, Effect, Member, MemberState, Start, Stop, UnitState};
+use crate::graph::Phase;
+use crate::port::{OrderError, Refusal};
+
+impl Dispatcher {
+    /// Answer to a start.
+    pub fn started(&mut self, start: &Start, answer: Result<u64, OrderError>, now: u64) {
+        self.changed = true;
+        let Some(unit) = self.jobs.get(&start.job).and_then(|job| job.units.get(start.unit)) else {
+            return;
+        };
+        let Some(member) = unit.members.get(start.member) else {
+            return;
+        };
+        if unit.run != start.run || member.endpoint != start.endpoint {
+            return;
+        }
+        let state = member.state;
+        if let Ok(clock)
+        | Err(OrderError::Refused {
+            clock_ms: Some(clock), ..
+        }) = &answer
+            && let Some(endpoint) = self.endpoints.get_mut(&start.endpoint)
+        {
+            endpoint.clock = Some((*clock, now));
+        }
+        let tuning = self.tuning.clone();
+        match answer {
+            Ok(_) => {
+                if matches!(state, MemberState::Sent { .. }) {
+                    self.member(start).state = MemberState::Running;
+                    self.member(start).moved_at = now;
+                }
+            }
+            Err(OrderError::Unknown(reason)) => {
+                let MemberState::Sent { tries, .. } = state else { return };
+                log::warn!(task:% = start.task, run = start.run, endpoint:% = start.endpoint, tries, reason; "start has no answer");
+                if tries >= tuning.start_tries {
+                    self.shun(&start.endpoint, tuning.unwell_ms, now);
+                    self.stop_unit(&start.job, start.unit, "a start has no answer", now);
+                    return;
+                }
+                self.member(start).state = MemberState::Sent { tries, next: now + 50 };
+            }
+            Err(error) => {
+                if !matches!(state, MemberState::Sent { .. } | MemberState::Stopping { .. }) {
+                    return;
+                }
+                let again = match &error {
+                    OrderError::Refused {
+                        refusal: Refusal::Late, ..
+                    } => matches!(state, MemberState::Sent { tries, .. } if tries < tuning.start_tries),
+                    _ => false,
+                };
+                if again {
+                    let MemberState::Sent { tries, .. } = state else { return };
+                    self.member(start).state = MemberState::Sent { tries, next: now };
+                    return;
+                }
+                // An earlier attempt without an answer may still be carried out.
+                let first = matches!(state, MemberState::Sent { tries: 1, .. });
+                log::info!(task:% = start.task, run = start.run, endpoint:% = start.endpoint, error:% = error; "start refused");
+                let unwell = !matches!(
+                    error,
+                    OrderError::Refused {
+                        refusal: Refusal::Room | Refusal::Old | Refusal::Late,
+                        ..
+                    }
+                );
+                if unwell {
+                    self.shun(&start.endpoint, tuning.unwell_ms, now);
+                } else {
+                    self.shun(&start.endpoint, 200, now);
+                }
+                if first
+                    || matches!(
+                        error,
+                        OrderError::Refused {
+                            refusal: Refusal::Old,
+                            ..
+                        }
+                    )
+                {
+                    self.gone(&start.job, start.unit, start.member, "start refused", now);
+                }
+                self.stop_unit(&start.job, start.unit, "a start was refused", now);
+            }
+        }
+    }
+
+    pub(super) fn member(&mut self, start: &Start) -> &mut Member {
+        let job = self.jobs.get_mut(&start.job).expect("the caller looked the job up");
+        &mut job.units[start.unit].members[start.member]
+    }
+
+    /// Answer to a stop.
+    pub fn stopped(&mut self, stop: &Stop, answer: Result<u64, OrderError>, now: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(&stop.endpoint) else {
+            return;
+        };
+        let Some(occupant) = endpoint.runs.get(&(Arc::clone(&stop.task), stop.run)).cloned() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&occupant.job) else {
+            return;
+        };
+        let member = &mut job.units[occupant.unit].members[occupant.member];
+        if let MemberState::Stopping { acked, next } = &mut member.state {
+            match answer {
+                Ok(_) => *acked = Some(now),
+                Err(error) => {
+                    log::info!(task:% = stop.task, run = stop.run, endpoint:% = stop.endpoint, error:% = error; "stop not confirmed");
+                    *next = now + self.tuning.resend_ms;
+                }
+            }
+        }
+    }
+
+    /// No new work for an endpoint for some time.
+    pub(super) fn shun(&mut self, name: &Arc<str>, for_ms: u64, now: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.shunned_until = endpoint.shunned_until.max(now + for_ms);
+        }
+    }
+
+    /// Ends the present run of a unit: what has not been sent is dropped, the rest is stopped.
+    pub(super) fn stop_unit(&mut self, id: &Arc<str>, position: usize, why: &str, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let unit = &mut job.units[position];
+        if matches!(unit.state, UnitState::Done | UnitState::Waiting) {
+            return;
+        }
+        if unit.state == UnitState::Active {
+            unit.state = UnitState::Clearing;
+            log::info!(job:% = id, unit = position, run = unit.run, why; "run ends");
+        }
+        let mut dropped = Vec::new();
+        for (at, member) in unit.members.iter_mut().enumerate() {
+            match member.state {
+                MemberState::Planned => dropped.push(at),
+                MemberState::Sent { .. } | MemberState::Running | MemberState::Recovered => {
+                    member.state = MemberState::Stopping { acked: None, next: now };
+                }
+                MemberState::Stopping { .. } | MemberState::Gone => {}
+            }
+        }
+        self.dirty.insert(Arc::clone(id));
+        for at in dropped {
+            self.gone(id, position, at, why, now);
+        }
+        self.settle(id, position);
+        self.changed = true;
+    }
+
+    /// Notes that a member is gone.
+    pub(super) fn gone(&mut self, id: &Arc<str>, position: usize, at: usize, why: &str, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let unit = &mut job.units[position];
+        let Some(member) = unit.members.get_mut(at) else { return };
+        if member.state == MemberState::Gone {
+            return;
+        }
+        member.state = MemberState::Gone;
+        let (task, run) = (Arc::clone(&member.task), unit.run);
+        if let Some(endpoint) = self.endpoints.get_mut(&member.endpoint) {
+            endpoint.vacate(&task, run);
+        }
+        if unit.state != UnitState::Done {
+            self.dirty.insert(Arc::clone(id));
+        }
+        self.changed = true;
+        if unit.state == UnitState::Active {
+            self.stop_unit(id, position, why, now);
+        }
+        self.settle(id, position);
+    }
+
+    /// Lets a unit wait again once its last run is gone.
+    pub(super) fn settle(&mut self, id: &Arc<str>, position: usize) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let phase = job.phase;
+        let unit = &mut job.units[position];
+        if unit.state == UnitState::Clearing && unit.is_clear() {
+            unit.state = UnitState::Waiting;
+            unit.members.clear();
+        }
+        if phase.is_final() && job.is_clear() && !self.dirty.contains(id) {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(super) fn finish(&mut self, id: &Arc<str>, phase: Phase, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.phase != phase {
+            log::info!(job:% = id, from:? = job.phase, to:? = phase; "job ends");
+            job.phase = phase;
+        }
+        let units = job.units.len();
+        self.dirty.insert(Arc::clone(id));
+        for position in 0..units {
+            self.claims.remove(&(Arc::clone(id), position));
+            self.stop_unit(id, position, "the job has ended", now);
+        }
+    }
+
+    /// Frees what has lapsed for certain.
+    pub(super) fn lapse(&mut self, now: u64) {
+        let mut lapsed = Vec::new();
+        for (name, endpoint) in &self.endpoints {
+            if endpoint.runs.is_empty() || !endpoint.has_lapsed(now) {
+                continue;
+            }
+            log::info!(endpoint:% = name, runs = endpoint.runs.len(); "all leases on the endpoint have passed");
+            lapsed.extend(endpoint.runs.values().cloned());
+        }
+        for occupant in lapsed {
+            self.gone(
+                &occupant.job,
+                occupant.unit,
+                occupant.member,
+                "its lease has passed",
+                now,
+            );
+        }
+        self.endpoints
+            .retain(|_, endpoint| endpoint.listed || !endpoint.runs.is_empty());
+    }
+
+    /// Sends orders again that have no answer.
+    pub(super) fn resend(&mut self, now: u64) {
+        for (id, job) in &mut self.jobs {
+            let payload = Arc::clone(&job.payload);
+            for (position, unit) in job.units.iter_mut().enumerate() {
+                let (run, checkpoint) = (unit.run, Arc::clone(&unit.checkpoint));
+                for (at, member) in unit.members.iter_mut().enumerate() {
+                    match &mut member.state {
+                        MemberState::Sent { tries, next } if *next <= now => {
+                            *tries += 1;
+                            *next = now + self.tuning.resend_ms;
+                            self.effects.push(Effect::Start(Start {
+                                job: Arc::clone(id),
+                                unit: position,
+                                member: at,
+                                run,
+                                endpoint: Arc::clone(&member.endpoint),
+                                task: Arc::clone(&member.task),
+                                payload: Arc::clone(&payload),
+                                checkpoint: Arc::clone(&checkpoint),
+                            }));
+                        }
+                        MemberState::Stopping { acked: None, next } if *next <= now => {
+                            *next = now + self.tuning.resend_ms;
+                            self.effects.push(Effect::Stop(Stop {
+                                endpoint: Arc::clone(&member.endpoint),
+                                task: Arc::clone(&member.task),
+                                run,
+                            }));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+}
--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -66,7 +66,7 @@
 
 /// Room on the sites of a group once some victims have stopped.
 fn freed(sites: &[Site], victims: &[Victim], group: &[usize], stopped: &BTreeSet<usize>) -> BTreeMap<usize, Room> {
-    let mut free: BTreeMap<usize, Room> = group.iter().map(|at| (*at, sites[*at].open())).collect();
+    let mut free: BTreeMap<usize, Room> = group.iter().map(|at| (*at, sites[*at].claimable())).collect();
     for at in stopped {
         for (site, room) in &victims[*at].rooms {
             if let Some(have) = free.get_mut(site) {
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -133,7 +133,11 @@
         let idle = self.runs.is_empty();
         // What is left on a silent endpoint has to lapse some time, also if only its answers are lost.
         let renews = !idle && self.silence < tuning.silence_max;
-        let span = if self.entry.draining { tuning.start_lease_ms } else { tuning.lease_ms };
+        let span = if self.entry.draining {
+            tuning.start_lease_ms
+        } else {
+            tuning.lease_ms
+        };
         let until_ms = if renews { self.until(now, span) } else { None };
         self.renewing = until_ms.map_or(0, |_| bound(tuning, now, span));
         // Ends that are not stored yet would be listed again at once.
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{StepPace, Unit, UnitState};
+use super::{StepPace, Unit, UnitState, Works};
 use crate::graph::{JobRecord, Phase, Step, Submission, TaskName};
 use crate::port::{Queue, Room};
 
@@ -88,6 +88,11 @@
         task_name(&self.id, unit.occurrence, unit.step as u32, unit.index + member)
     }
 
+    /// Expected work of each task of a step, in milliseconds on a typical endpoint.
+    pub fn expected_ms(&self, step: &Step, works: &Works) -> f64 {
+        works.expected_ms(&self.submission.queue, step.estimate_ms)
+    }
+
     /// Room that each task of a unit takes.
     pub fn need(&self, unit: usize) -> Room {
         need(self.step(unit))
@@ -146,3 +151,8 @@
     };
     Arc::from(name.to_string())
 }
+
+/// Core-seconds that a task with this room does in a second; an accelerator counts as eight cores.
+pub(super) fn weight(need: &Room) -> f64 {
+    need.millicores as f64 / 1_000.0 + 8.0 * need.accelerators as f64
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,28 +8,36 @@
 //! A member of a unit is in one of the states of [`MemberState`]. Its room counts as taken until the endpoint has shown
 //! that the run is gone, or until every lease that may cover it has passed.
 
+mod answers;
 mod claim;
 mod dispatcher;
 mod effect;
 mod endpoint;
 mod job;
+mod learned;
 mod member;
 mod order;
 mod pace;
 mod place;
+mod preempt;
 mod report;
+mod round;
 mod site;
 mod snapshot;
+mod storing;
 mod tuning;
 mod unit;
+mod works;
 
 pub use dispatcher::Dispatcher;
 pub use effect::{Effect, Start, Stop};
 pub use endpoint::{Endpoint, Hold};
 pub use job::Job;
-pub use pace::{Pace, StepPace};
+pub use learned::{Learned, LearnedPace, LearnedWork};
 pub use member::{Member, MemberState};
+pub use pace::{Pace, StepPace};
 pub use site::Site;
 pub use snapshot::{JobWrite, Snapshot};
 pub use tuning::Tuning;
 pub use unit::{Unit, UnitState};
+pub use works::{Work, Works};
--- a/src/dispatch/pace.rs
+++ b/src/dispatch/pace.rs
@@ -62,6 +62,11 @@
 }
 
 impl StepPace {
+    /// Whether nothing was measured yet.
+    pub fn is_empty(&self) -> bool {
+        self.found.is_empty()
+    }
+
     /// Error of the caller's estimate as told by the other endpoints, if there are any.
     fn error<F>(&self, endpoint: &Arc<str>, pace: &F) -> Option<f64>
     where
--- /dev/null
+++ b/src/dispatch/preempt.rs
@@ -0,0 +1,161 @@
+//! Room for urgent units at the cost of others.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::claim::{self, Victim};
+use super::job::weight;
+use super::place::Demand;
+use super::{Dispatcher, Site, UnitState};
+use crate::port::Room;
+
+/// Room that is kept for a unit while what it preempts stops.
+#[derive(Debug, Clone)]
+pub(super) struct Claim {
+    /// Endpoints and the tasks that each is to take.
+    pub sites: BTreeMap<Arc<str>, u32>,
+    pub need: Room,
+    /// The unit is to be in one rack.
+    pub adjacent: bool,
+    /// Endpoints below this speed are left out.
+    pub least_speed: f64,
+    pub since: u64,
+}
+
+impl Dispatcher {
+    /// Accelerators that the urgent jobs of a team take or ask for.
+    pub(super) fn claimed(&self, team: &str) -> u64 {
+        let mut claimed = 0;
+        for job in self.jobs.values() {
+            if job.submission.team != team || job.phase.is_final() || !job.is_urgent() {
+                continue;
+            }
+            claimed += job.claimed();
+        }
+        claimed
+    }
+
+    /// Whether the guarantee of its team covers a job.
+    pub(super) fn is_owed(&self, id: &Arc<str>) -> bool {
+        let team = &*self.jobs[id].submission.team;
+        let guaranteed = self.policy.teams.get(team).map_or(0, |team| team.guaranteed);
+        self.claimed(team) <= guaranteed
+    }
+
+    /// Whether a guarantee would be met late if room were not made now, whatever it costs.
+    pub(super) fn is_pressing(&self, id: &Arc<str>, now: u64) -> bool {
+        now.saturating_sub(self.jobs[id].accepted) + self.tuning.claim_lead_ms >= self.tuning.reclaim_ms
+    }
+
+    /// Most work, in core-seconds, that may be lost so that a unit can start; rises while it waits, since a late urgent job
+    /// is worth much less.
+    pub(super) fn claim_limit(&self, id: &Arc<str>, position: usize, now: u64) -> f64 {
+        let job = &self.jobs[id];
+        let seconds = job.expected_ms(job.step(position), &self.works) / 1_000.0;
+        let waited = now.saturating_sub(job.accepted) as f64 / 1_000.0;
+        let share = self.tuning.claim_share + self.tuning.claim_rise * waited.min(1.0);
+        share * seconds * weight(&job.need(position)) * f64::from(job.units[position].size)
+    }
+
+    /// What is cheapest to stop so that an urgent unit can start, and the room to keep for it; `borrowed` adds the urgent
+    /// jobs of teams that take more than their guarantee.
+    pub(super) fn plan_claim(
+        &self,
+        sites: &[Site],
+        demand: &Demand<'_>,
+        borrowed: bool,
+        now: u64,
+    ) -> Option<(Claim, Vec<Victim>)> {
+        let mut victims = self.victims(sites, borrowed, now);
+        let (taken, stopped) = claim::plan(sites, &victims, demand)?;
+        let claim = Claim {
+            sites: taken
+                .iter()
+                .map(|(at, times)| (Arc::clone(&sites[*at].name), *times))
+                .collect(),
+            need: demand.need,
+            adjacent: demand.adjacent,
+            least_speed: demand.least_speed,
+            since: now,
+        };
+        let mut at = 0;
+        victims.retain(|_| {
+            at += 1;
+            stopped.contains(&(at - 1))
+        });
+        Some((claim, victims))
+    }
+
+    /// Keeps room for an urgent unit and stops what is in its way.
+    pub(super) fn preempt(
+        &mut self,
+        id: &Arc<str>,
+        position: usize,
+        sites: &mut [Site],
+        claim: Claim,
+        victims: Vec<Victim>,
+        now: u64,
+    ) {
+        hold_back(sites, &claim, false);
+        self.claims.insert((Arc::clone(id), position), claim);
+        for victim in victims {
+            let (job, unit) = victim.unit;
+            log::info!(job:% = id, victim:% = job, unit, cost = victim.cost; "preempts");
+            self.stop_unit(&job, unit, "preempted", now);
+        }
+    }
+
+    /// Units that may be stopped for an urgent one.
+    pub(super) fn victims(&self, sites: &[Site], borrowed: bool, now: u64) -> Vec<Victim> {
+        let index: BTreeMap<&Arc<str>, usize> = sites.iter().enumerate().map(|(at, site)| (&site.name, at)).collect();
+        let mut victims = Vec::new();
+        for (id, job) in &self.jobs {
+            if job.queue.is_none() || job.is_urgent() && (!borrowed || self.is_owed(id)) {
+                continue;
+            }
+            for (position, unit) in job.units.iter().enumerate() {
+                if unit.state != UnitState::Active {
+                    continue;
+                }
+                let need = job.need(position);
+                let mut rooms: BTreeMap<usize, Room> = BTreeMap::new();
+                for member in unit.members.iter().filter(|member| member.holds_room()) {
+                    if let Some(at) = index.get(&member.endpoint) {
+                        let room = rooms.entry(*at).or_default();
+                        *room = room.plus(&need);
+                    }
+                }
+                if rooms.is_empty() {
+                    continue;
+                }
+                let at_risk_ms = if job.step(position).checkpoints {
+                    self.tuning.resume_ms
+                } else {
+                    now.saturating_sub(unit.placed_at)
+                };
+                victims.push(Victim {
+                    unit: (Arc::clone(id), position),
+                    cost: at_risk_ms as f64 / 1_000.0 * weight(&need) * unit.members.len() as f64,
+                    rooms,
+                });
+            }
+        }
+        victims
+    }
+}
+
+/// Keeps the room of a claim on its sites, or gives it back.
+pub(super) fn hold_back(sites: &mut [Site], claim: &Claim, back: bool) {
+    for site in sites {
+        let Some(times) = claim.sites.get(&site.name) else {
+            continue;
+        };
+        for _ in 0..*times {
+            site.held = if back {
+                site.held.minus(&claim.need)
+            } else {
+                site.held.plus(&claim.need)
+            };
+        }
+    }
+}
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -162,9 +162,20 @@
     /// Learns the speed of an endpoint from the progress of a run.
     fn learn(&mut self, name: &Arc<str>, id: &Arc<str>, step: usize, log: f64) {
         let Some(job) = self.jobs.get_mut(id) else { return };
+        let estimate = (job.submission.graph.steps[step].estimate_ms as f64).ln();
+        let first = job.paces[step].is_empty();
         let endpoints = &mut self.endpoints;
         let typical = self.typical;
-        let pace = |endpoint: &Arc<str>| endpoints.get(endpoint).map_or(typical, |found| found.pace.estimate(typical));
+        let pace = |endpoint: &Arc<str>| {
+            endpoints
+                .get(endpoint)
+                .map_or(typical, |found| found.pace.estimate(typical))
+        };
+        if first {
+            // Estimate over duration and the speed of the endpoint tell the work.
+            let work = estimate - log + pace(name) - typical;
+            self.works.learn(&job.submission.queue, work, estimate);
+        }
         for (endpoint, log, weight) in job.paces[step].take(name, log, pace) {
             if let Some(endpoint) = endpoints.get_mut(&endpoint) {
                 endpoint.pace.learn(log, weight, typical);
--- a/src/dispatch/site.rs
+++ b/src/dispatch/site.rs
@@ -15,6 +15,8 @@
     pub labels: Vec<Arc<str>>,
     /// Room that nothing takes.
     pub free: Room,
+    /// Room of runs that are being stopped.
+    pub clearing: Room,
     /// Room that is kept for units that wait for it.
     pub held: Room,
     /// Speed relative to the estimates.
@@ -29,6 +31,11 @@
         self.free.minus(&self.held)
     }
 
+    /// Room that a further claim may count on: what is being stopped for one claim is not there for another.
+    pub fn claimable(&self) -> Room {
+        self.free.plus(&self.clearing).minus(&self.held)
+    }
+
     /// Whether a label is there; an empty one always is.
     pub fn has(&self, label: &str) -> bool {
         label.is_empty() || self.labels.iter().any(|held| **held == *label)
--- /dev/null
+++ b/src/dispatch/storing.rs
@@ -0,0 +1,151 @@
+//! What the dispatcher stores and takes over.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{Dispatcher, Effect, JobWrite, Learned, LearnedPace, LearnedWork, MemberState, Pace, Snapshot, Work};
+use crate::graph::Phase;
+
+/// Most jobs in one transaction; each takes two rows, and a transaction holds 100.
+const JOBS_A_COMMIT: usize = 45;
+
+impl Dispatcher {
+    /// Changes since the last snapshot that have to be stored; `None` if there are none.
+    pub fn snapshot(&mut self) -> Option<Snapshot> {
+        let mut snapshot = Snapshot::default();
+        while snapshot.jobs.len() < JOBS_A_COMMIT {
+            let Some(id) = self.dirty.pop_first() else { break };
+            let Some(job) = self.jobs.get(&id) else { continue };
+            snapshot.jobs.push(JobWrite {
+                record: job.record(),
+                phase: job.phase,
+                team: job.submission.team.clone(),
+                id,
+            });
+        }
+        let (ready, waiting) = std::mem::take(&mut self.starts)
+            .into_iter()
+            .partition(|start| !self.dirty.contains(&start.job));
+        snapshot.starts = ready;
+        self.starts = waiting;
+        snapshot.complete = self.dirty.is_empty();
+        if snapshot.complete {
+            for (name, endpoint) in &self.endpoints {
+                if endpoint.seen > endpoint.stored {
+                    snapshot
+                        .seen
+                        .push((Arc::clone(name), endpoint.entry.born, endpoint.seen));
+                }
+            }
+        }
+        if snapshot.jobs.is_empty() && snapshot.starts.is_empty() && snapshot.seen.is_empty() {
+            return None;
+        }
+        Some(snapshot)
+    }
+
+    /// A snapshot has been stored: releases its starts.
+    pub fn stored(&mut self, snapshot: Snapshot, now: u64) {
+        for start in snapshot.starts {
+            let Some(job) = self.jobs.get_mut(&start.job) else {
+                continue;
+            };
+            let unit = &mut job.units[start.unit];
+            let Some(member) = unit.members.get_mut(start.member) else {
+                continue;
+            };
+            if unit.run != start.run || member.state != MemberState::Planned {
+                continue;
+            }
+            member.state = MemberState::Sent {
+                tries: 1,
+                next: now + self.tuning.resend_ms,
+            };
+            self.effects.push(Effect::Start(start));
+        }
+        for (name, born, seen) in snapshot.seen {
+            if let Some(endpoint) = self
+                .endpoints
+                .get_mut(&name)
+                .filter(|endpoint| endpoint.entry.born == born)
+            {
+                endpoint.stored = endpoint.stored.max(seen);
+            }
+        }
+        for write in snapshot.jobs {
+            let Some(job) = self.jobs.get(&write.id) else { continue };
+            if write.phase.is_final() && job.is_clear() && !self.dirty.contains(&write.id) {
+                self.jobs.remove(&write.id);
+            }
+        }
+    }
+
+    /// A snapshot could not be stored: its changes are part of the next one.
+    pub fn unstored(&mut self, snapshot: Snapshot) {
+        for write in snapshot.jobs {
+            self.dirty.insert(write.id);
+        }
+        for start in snapshot.starts {
+            self.dirty.insert(Arc::clone(&start.job));
+            self.starts.push(start);
+        }
+    }
+
+    /// What was learned, to store.
+    pub fn learned(&self) -> Learned {
+        let mut learned = Learned::default();
+        for (name, endpoint) in &self.endpoints {
+            if endpoint.pace.seen <= 0.0 || !endpoint.listed {
+                continue;
+            }
+            learned.paces.push(LearnedPace {
+                endpoint: name.to_string(),
+                born: endpoint.entry.born,
+                log: endpoint.pace.log as f32,
+                seen: endpoint.pace.seen as f32,
+            });
+        }
+        for (queue, work) in self.works.all() {
+            learned.works.push(LearnedWork {
+                queue: queue.to_string(),
+                count: work.count,
+                sum: work.sum,
+                squares: work.squares,
+                errors: work.errors,
+            });
+        }
+        learned
+    }
+
+    /// Takes over what a former leader has learned; called before any endpoint is known.
+    pub fn restore(&mut self, learned: &Learned) {
+        for pace in &learned.paces {
+            let key = (Arc::from(&*pace.endpoint), pace.born);
+            let pace = Pace {
+                log: f64::from(pace.log),
+                seen: f64::from(pace.seen),
+            };
+            self.learned.insert(key, pace);
+        }
+        for work in &learned.works {
+            let sums = Work {
+                count: work.count,
+                sum: work.sum,
+                squares: work.squares,
+                errors: work.errors,
+            };
+            self.works.restore(&work.queue, sums);
+        }
+    }
+
+    /// Number of jobs of each queue that have not begun.
+    pub fn pending(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut pending: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.phase == Phase::Queued {
+                *pending.entry(Arc::from(&*job.submission.queue)).or_default() += 1;
+            }
+        }
+        pending
+    }
+}
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -31,6 +31,8 @@
     pub silence_max: u32,
     /// How long a run may show no progress before it is moved, in milliseconds.
     pub stall_ms: u64,
+    /// Work that a run with checkpoints loses when it is stopped and resumed, in milliseconds.
+    pub resume_ms: u64,
     /// Time in which a guarantee has to be met, in milliseconds; from the site.
     pub reclaim_ms: u64,
     /// Time from a claim to the start of what claims, in milliseconds: the stop of its victims, their reports, a commit
@@ -63,6 +65,7 @@
             unwell_ms: 1_000,
             silence_max: 6,
             stall_ms: 2_500,
+            resume_ms: 300,
             reclaim_ms: 2_700,
             claim_lead_ms: 1_000,
             claim_share: 1.0,
--- a/src/graph/job_graph.rs
+++ b/src/graph/job_graph.rs
@@ -45,26 +45,18 @@
             .saturating_add(u64::from(occurrence).saturating_mul(self.interval_ms))
     }
 
-    /// Length of the longest chain of steps that begins with `step`, by the caller's estimates, in milliseconds.
-    pub fn chain_ms(&self, step: usize) -> u64 {
-        let mut chain = vec![0; self.steps.len()];
-        let mut longest = 0;
-        for at in (step..self.steps.len()).rev() {
-            let mut rest = 0;
-            for (later, step) in self.steps.iter().enumerate().skip(at + 1) {
-                if !step.after.contains(&(at as u32)) {
-                    continue;
-                }
-                rest = rest.max(chain[later]);
-            }
-            chain[at] = rest + self.steps[at].estimate_ms;
-            longest = longest.max(chain[at]);
-        }
-        if step == 0 {
-            longest
-        } else {
-            chain.get(step).copied().unwrap_or(0)
+    /// Length of the longest chain of steps, with the duration of each step given by `span`.
+    pub fn chain<F>(&self, span: F) -> f64
+    where
+        F: Fn(&Step) -> f64,
+    {
+        let mut ends: Vec<f64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().filter_map(|after| ends.get(*after as usize));
+            let start = before.copied().fold(0.0, f64::max);
+            ends.push(start + span(step));
         }
+        ends.into_iter().fold(0.0, f64::max)
     }
 
     /// Checks what no later stage could repair.
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -103,7 +103,9 @@
             sleep(RETRY).await;
             continue;
         }
-        let Some(fence) = wait_for_vacancy(&candidate).await else { return };
+        let Some(fence) = wait_for_vacancy(&candidate).await else {
+            return;
+        };
         match take(&candidate, fence).await {
             Ok(Some(seat)) => reign(&candidate, seat).await,
             Ok(None) => {}
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -10,9 +10,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::progress::Progress;
-use super::tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase};
+use super::tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase};
 use super::{Beat, Candidate, LedgerEntry, tend};
-use crate::dispatch::{Dispatcher, Snapshot};
+use crate::dispatch::{Dispatcher, Learned, Snapshot};
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::net::wall_ms;
 use crate::port::{Commit, Entries, Orders, Page, Range, Row, RowKey, Rows, StoreError};
@@ -32,6 +32,9 @@
 /// Least time between two writes of the number of waiting jobs, in milliseconds.
 const PENDING_MS: u64 = 500;
 
+/// Time between two writes of what was learned, in milliseconds; a new leader starts with figures of about this age.
+const LEARNED_MS: u64 = 3_000;
+
 /// The ledger row as the leader last wrote it.
 #[derive(Debug, Clone)]
 pub(super) struct Seat {
@@ -88,8 +91,15 @@
     let phases = candidate.rows.read_all(PHASE).await?;
     let records = candidate.rows.read_all(RECORD).await?;
     let endpoints = candidate.rows.read_all(candidate.entries.endpoint_table()).await?;
+    let learned = candidate.rows.read(&Range::one(LEARNED, ONLY)).await?;
     let now = candidate.clock.now();
     let mut dispatcher = progress.dispatcher.borrow_mut();
+    if let Some(value) = learned.rows.first().and_then(|row| row.value.as_deref()) {
+        match Learned::decode(value) {
+            Ok(learned) => dispatcher.restore(&learned),
+            Err(error) => log::warn!(error:% = error; "what a former leader learned is unreadable"),
+        }
+    }
     if let Some(policy) = candidate.view.policy() {
         dispatcher.configure(policy);
     }
@@ -280,6 +290,7 @@
     let mut beat_due = 0;
     let mut pending = BTreeMap::new();
     let mut pending_due = 0;
+    let mut learned_due = candidate.clock.now() + LEARNED_MS;
     let mut writing: JoinSet<(Snapshot, Result<u64, StoreError>)> = JoinSet::new();
     while !progress.deposed.get() {
         let stopping = candidate.stop.is_stopping();
@@ -316,6 +327,11 @@
                     pending = counts;
                 }
             }
+            if now >= learned_due && !commit.put.is_empty() {
+                learned_due = now + LEARNED_MS;
+                let learned = progress.dispatcher.borrow().learned();
+                commit.put.push((RowKey::new(LEARNED, ONLY), learned.encode_to_vec()));
+            }
             if snapshot.is_some() || !commit.put.is_empty() {
                 let snapshot = snapshot.unwrap_or_default();
                 fill(&mut commit, &snapshot, &seat, candidate);
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -16,4 +16,4 @@
 pub use beat::Beat;
 pub use election::{Candidate, Timing, run};
 pub use ledger::LedgerEntry;
-pub use tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase};
+pub use tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase};
--- a/src/lead/tables.rs
+++ b/src/lead/tables.rs
@@ -17,6 +17,9 @@
 /// Number of jobs that have not begun, by queue; written by the leader.
 pub const PENDING: &str = "pending";
 
+/// What the leader has learned of speeds and work; written by it now and then.
+pub const LEARNED: &str = "learned";
+
 /// The present leader; renewed by it.
 pub const LEAD: &str = "lead";
 
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher.
 
+mod claim;
 mod doubt;
 mod gang;
 mod takeover;
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -147,8 +147,14 @@
 
     pub fn submit(&mut self, id: &str, queue: &str, steps: Vec<Step>) {
         let submission = submission(queue, steps);
-        self.dispatcher
-            .submit(&name(id), submission, None, yuccaridge::graph::Phase::Queued, 0, self.now);
+        self.dispatcher.submit(
+            &name(id),
+            submission,
+            None,
+            yuccaridge::graph::Phase::Queued,
+            0,
+            self.now,
+        );
     }
 
     /// Lets `span` milliseconds pass, in steps as a leader would take them; returns the starts sent meanwhile.
