Make a round cheap enough for hundreds of endpoints

Change: sites are built once a round; a claim takes the cheapest offer of any site; resends and lapses are looked at every 50 ms, rounds at most every 10 ms.

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -143,7 +143,15 @@
             match member.state {
                 MemberState::Planned => dropped.push(at),
                 MemberState::Sent { .. } | MemberState::Running | MemberState::Recovered => {
-                    member.state = MemberState::Stopping { acked: None, next: now };
+                    member.state = MemberState::Stopping {
+                        acked: None,
+                        next: now + self.tuning.resend_ms,
+                    };
+                    self.effects.push(Effect::Stop(Stop {
+                        endpoint: Arc::clone(&member.endpoint),
+                        task: Arc::clone(&member.task),
+                        run: unit.run,
+                    }));
                 }
                 MemberState::Stopping { .. } | MemberState::Gone => {}
             }
--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::Site;
-use super::place::{Demand, racks};
+use super::place::Demand;
+use super::sites::Sites;
 use crate::port::Room;
 
 /// A unit that may be stopped.
@@ -21,117 +21,134 @@
 /// Sites with the tasks that each is to take, and the units that have to stop first.
 pub(super) type Plan = (BTreeMap<usize, u32>, BTreeSet<usize>);
 
+/// Room for one more task on a site: its price, and the units that have to stop for it.
+type Offer = (f64, Vec<usize>);
+
+/// Victims by the site on which they hold room.
+pub(super) fn by_site(sites: &Sites, victims: &[Victim]) -> Vec<Vec<usize>> {
+    let mut local = vec![Vec::new(); sites.len()];
+    for (at, victim) in victims.iter().enumerate() {
+        for site in victim.rooms.keys() {
+            local[*site].push(at);
+        }
+    }
+    local
+}
+
 /// Cheapest way to make room for `demand`; `None` if stopping every victim would not do.
-pub(super) fn plan(sites: &[Site], victims: &[Victim], demand: &Demand<'_>) -> Option<Plan> {
-    let groups: Vec<Vec<usize>> = if demand.adjacent {
-        racks(sites).into_values().collect()
-    } else {
-        vec![(0..sites.len()).collect()]
-    };
+pub(super) fn plan(sites: &Sites, victims: &[Victim], demand: &Demand<'_>) -> Option<Plan> {
+    let local = by_site(sites, victims);
     let mut best: Option<(f64, Plan)> = None;
-    for group in groups {
-        let Some((cost, found)) = plan_group(sites, victims, demand, &group) else {
-            continue;
+    for group in sites.groups(demand.adjacent) {
+        let limit = best.as_ref().map_or(f64::INFINITY, |(least, _)| *least);
+        let search = Search {
+            sites,
+            victims,
+            local: &local,
+            demand,
         };
-        if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
-            continue;
+        if let Some(found) = search.group(&group, limit) {
+            best = Some(found);
         }
-        best = Some((cost, found));
     }
     best.map(|(_, found)| found)
 }
 
-fn plan_group(sites: &[Site], victims: &[Victim], demand: &Demand<'_>, group: &[usize]) -> Option<(f64, Plan)> {
-    let mut stopped = BTreeSet::new();
-    loop {
-        if fit(sites, victims, demand, group, &stopped).is_some() {
-            break;
-        }
-        let free = freed(sites, victims, group, &stopped);
-        stopped.insert(next(sites, victims, demand, &free, &stopped)?);
-    }
-    // A later choice may have made an earlier one needless; the dearest are spared first.
-    let mut dearest: Vec<usize> = stopped.iter().copied().collect();
-    dearest.sort_by(|a, b| victims[*b].cost.total_cmp(&victims[*a].cost));
-    for at in dearest {
-        stopped.remove(&at);
-        if fit(sites, victims, demand, group, &stopped).is_none() {
-            stopped.insert(at);
-        }
-    }
-    let cost = stopped.iter().map(|at| 1.0 + victims[*at].cost).sum();
-    let taken = fit(sites, victims, demand, group, &stopped)?;
-    Some((cost, (taken, stopped)))
+/// What a search for room looks at.
+struct Search<'s> {
+    sites: &'s Sites,
+    victims: &'s [Victim],
+    local: &'s [Vec<usize>],
+    demand: &'s Demand<'s>,
 }
 
-/// Room on the sites of a group once some victims have stopped.
-fn freed(sites: &[Site], victims: &[Victim], group: &[usize], stopped: &BTreeSet<usize>) -> BTreeMap<usize, Room> {
-    let mut free: BTreeMap<usize, Room> = group.iter().map(|at| (*at, sites[*at].claimable())).collect();
-    for at in stopped {
-        for (site, room) in &victims[*at].rooms {
-            if let Some(have) = free.get_mut(site) {
-                *have = have.plus(room);
+impl Search<'_> {
+    /// Room on the sites of a group for less than `limit`: takes the cheapest offer of any site until all tasks have room.
+    fn group(&self, group: &[usize], limit: f64) -> Option<(f64, Plan)> {
+        let mut taken: BTreeMap<usize, u32> = BTreeMap::new();
+        let mut stopped = BTreeSet::new();
+        let mut offers: BTreeMap<usize, Offer> = BTreeMap::new();
+        for at in group {
+            if let Some(offer) = self.offer(*at, 0, &stopped) {
+                offers.insert(*at, offer);
             }
         }
-    }
-    free
-}
-
-/// Tasks that each site of a group takes once some victims have stopped; `None` if they do not all fit.
-fn fit(
-    sites: &[Site],
-    victims: &[Victim],
-    demand: &Demand<'_>,
-    group: &[usize],
-    stopped: &BTreeSet<usize>,
-) -> Option<BTreeMap<usize, u32>> {
-    let mut taken = BTreeMap::new();
-    let mut total = 0;
-    for (at, room) in freed(sites, victims, group, stopped) {
-        let times = demand.times(&sites[at], &room).min(demand.count - total);
-        if times == 0 {
-            continue;
+        let mut cost = 0.0;
+        for _ in 0..self.demand.count {
+            let (at, _) = offers.iter().min_by(|(_, (a, _)), (_, (b, _))| a.total_cmp(b))?;
+            let at = *at;
+            let (price, victims) = offers.remove(&at)?;
+            cost += price;
+            if cost >= limit {
+                return None;
+            }
+            *taken.entry(at).or_default() += 1;
+            let mut touched = BTreeSet::from([at]);
+            for victim in victims {
+                stopped.insert(victim);
+                touched.extend(self.victims[victim].rooms.keys().copied());
+            }
+            for other in touched {
+                if other != at && !offers.contains_key(&other) {
+                    continue;
+                }
+                match self.offer(other, taken.get(&other).copied().unwrap_or(0), &stopped) {
+                    Some(offer) => offers.insert(other, offer),
+                    None => offers.remove(&other),
+                };
+            }
         }
-        taken.insert(at, times);
-        total += times;
+        Some((cost, (taken, stopped)))
     }
-    (total == demand.count).then_some(taken)
-}
 
-/// The victim that makes most room for its cost.
-fn next(
-    sites: &[Site],
-    victims: &[Victim],
-    demand: &Demand<'_>,
-    free: &BTreeMap<usize, Room>,
-    stopped: &BTreeSet<usize>,
-) -> Option<usize> {
-    let mut best: Option<(f64, usize)> = None;
-    for (at, victim) in victims.iter().enumerate() {
-        if stopped.contains(&at) {
-            continue;
+    /// Cheapest way to make room for one more task on a site that has `taken` of them.
+    fn offer(&self, at: usize, taken: u32, stopped: &BTreeSet<usize>) -> Option<Offer> {
+        let site = &self.sites[at];
+        let mut room = site.claimable();
+        let mut left = Vec::new();
+        for victim in &self.local[at] {
+            let freed = &self.victims[*victim].rooms[&at];
+            if stopped.contains(victim) {
+                room = room.plus(freed);
+            } else {
+                left.push((*victim, *freed));
+            }
+        }
+        let enough = |room: &Room| self.demand.times(site, room) > taken;
+        if enough(&room) {
+            return Some((0.0, Vec::new()));
         }
-        let mut gain = 0.0;
-        for (site, room) in &victim.rooms {
-            let Some(have) = free.get(site) else { continue };
-            let before = demand.times(&sites[*site], have);
-            let after = demand.times(&sites[*site], &have.plus(room));
-            gain += f64::from(after - before.min(after));
-            // Room that is too small by itself still helps together with other victims.
-            if demand.times(&sites[*site], &Room::ALL) > after {
-                gain += 0.1 * share(room, &demand.need);
+        if !enough(&site.capacity) {
+            return None;
+        }
+        // The cheapest for the room that they free come first.
+        let price = |(victim, freed): &(usize, Room)| (1.0 + self.victims[*victim].cost) / share(freed, &self.demand.need).max(0.01);
+        left.sort_by(|a, b| price(a).total_cmp(&price(b)));
+        let mut chosen: Vec<(usize, Room)> = Vec::new();
+        for victim in left {
+            room = room.plus(&victim.1);
+            chosen.push(victim);
+            if enough(&room) {
+                break;
             }
         }
-        if gain <= 0.0 {
-            continue;
+        if !enough(&room) {
+            return None;
         }
-        let price = (1.0 + victim.cost) / gain;
-        if best.is_some_and(|(least, _)| least <= price) {
-            continue;
+        // A later choice may have made an earlier one needless; the dearest are spared first.
+        chosen.sort_by(|a, b| self.victims[b.0].cost.total_cmp(&self.victims[a.0].cost));
+        let mut kept = Vec::new();
+        for (victim, freed) in chosen {
+            let without = room.minus(&freed);
+            if enough(&without) {
+                room = without;
+            } else {
+                kept.push(victim);
+            }
         }
-        best = Some((price, at));
+        let cost = kept.iter().map(|victim| 1.0 + self.victims[*victim].cost).sum();
+        Some((cost, kept))
     }
-    best.map(|(_, at)| at)
 }
 
 /// Part of `need` that `room` covers, at most 1.
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -29,11 +29,18 @@
     pub(super) typical: f64,
     /// Something changed that may let a waiting unit start.
     pub(super) changed: bool,
-    pub(super) next_round: u64,
+    last_round: u64,
+    next_check: u64,
     /// When this leader took over, in milliseconds.
     pub(super) since: u64,
 }
 
+/// Least time between two rounds, in milliseconds: what arrives together is decided together.
+const ROUND_MIN_MS: u64 = 10;
+
+/// Time between two looks at leases and unanswered orders, in milliseconds.
+const CHECK_MS: u64 = 50;
+
 /// Longest time between two rounds without a change, in milliseconds; occurrences fall due in between.
 const ROUND_MS: u64 = 100;
 
@@ -53,7 +60,8 @@
             typical: 0.0,
             learned: BTreeMap::new(),
             changed: true,
-            next_round: 0,
+            last_round: 0,
+            next_check: 0,
             since: now,
         }
     }
@@ -230,13 +238,23 @@
         Some(until)
     }
 
+    /// Time until the next step has something to do, in milliseconds.
+    pub fn idle_ms(&self, now: u64) -> u64 {
+        let round = if self.changed { ROUND_MIN_MS } else { ROUND_MS };
+        (self.last_round + round).min(self.next_check).saturating_sub(now)
+    }
+
     /// Runs timers and gives room to waiting units; returns the orders to send.
     pub fn step(&mut self, now: u64, wall_ms: u64) -> Vec<Effect> {
-        self.lapse(now);
-        self.resend(now);
-        if self.changed || now >= self.next_round {
+        if now >= self.next_check {
+            self.next_check = now + CHECK_MS;
+            self.lapse(now);
+            self.resend(now);
+        }
+        let due = if self.changed { self.last_round + ROUND_MIN_MS } else { self.last_round + ROUND_MS };
+        if now >= due {
             self.changed = false;
-            self.next_round = now + ROUND_MS;
+            self.last_round = now;
             self.round(now, wall_ms);
         }
         std::mem::take(&mut self.effects)
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -13,6 +13,8 @@
     pub id: Arc<str>,
     /// What was accepted.
     pub submission: Submission,
+    /// Team that submitted it.
+    pub team: Arc<str>,
     /// What the tasks are told to do.
     pub payload: Arc<str>,
     /// Queue, as last known.
@@ -55,6 +57,7 @@
             unit.restore(saved, name, now);
         }
         Self {
+            team: Arc::from(&*submission.team),
             payload: Arc::from(&*submission.graph.payload),
             id,
             paces: vec![StepPace::default(); submission.graph.steps.len()],
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod report;
 mod round;
 mod site;
+mod sites;
 mod snapshot;
 mod storing;
 mod tuning;
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -7,11 +7,9 @@
 use std::sync::Arc;
 
 use super::Site;
+use super::sites::Sites;
 use crate::port::Room;
 
-/// Share of the best speed below which an endpoint counts as slow; endpoints differ by factors from 2 to 4.
-const SLOW: f64 = 0.55;
-
 /// What a unit asks for.
 #[derive(Debug)]
 pub(super) struct Demand<'a> {
@@ -68,23 +66,9 @@
     }
 }
 
-/// Sites grouped by rack; those without one form a group of their own.
-pub(super) fn racks(sites: &[Site]) -> BTreeMap<Option<Arc<str>>, Vec<usize>> {
-    let mut racks: BTreeMap<Option<Arc<str>>, Vec<usize>> = BTreeMap::new();
-    for (at, site) in sites.iter().enumerate() {
-        racks.entry(site.rack.clone()).or_default().push(at);
-    }
-    racks
-}
-
-/// Speed below which a site is slow.
-pub(super) fn slow_below(sites: &[Site]) -> f64 {
-    sites.iter().map(|site| site.speed).fold(0.0, f64::max) * SLOW
-}
-
 /// Site of each member, or `None` if there is no room now.
-pub(super) fn place(sites: &[Site], demand: &Demand<'_>) -> Option<Vec<usize>> {
-    let fast = slow_below(sites);
+pub(super) fn place(sites: &Sites, demand: &Demand<'_>) -> Option<Vec<usize>> {
+    let fast = sites.slow_below();
     if demand.count == 1 {
         return single(sites, demand, fast).map(|at| vec![at]);
     }
@@ -93,7 +77,7 @@
         return fill(sites, demand, &all, fast).map(|(_, chosen)| chosen);
     }
     let mut best: Option<((bool, u64), Vec<usize>)> = None;
-    for group in racks(sites).values() {
+    for group in sites.racks() {
         let Some((slow, chosen)) = fill(sites, demand, group, fast) else {
             continue;
         };
@@ -150,22 +134,20 @@
 }
 
 /// Whether some rack could hold the unit if it were empty.
-pub(super) fn fits_a_rack(sites: &[(Site, Room)], demand: &Demand<'_>) -> bool {
-    let mut racks: BTreeMap<Option<&Arc<str>>, u32> = BTreeMap::new();
-    for (site, capacity) in sites {
-        *racks.entry(site.rack.as_ref()).or_default() += demand.times(site, capacity);
+pub(super) fn fits_a_rack(sites: &Sites, demand: &Demand<'_>) -> bool {
+    for group in sites.racks() {
+        let times: u32 = group.iter().map(|at| demand.times(&sites[*at], &sites[*at].capacity)).sum();
+        if times >= demand.count {
+            return true;
+        }
     }
-    racks.values().any(|times| *times >= demand.count)
+    false
 }
 
 /// Rack, or all sites, where room for the unit comes first if what runs ends as estimated: the time and the sites.
 /// `ends` lists when room comes free on each site.
-pub(super) fn earliest(sites: &[Site], ends: &[Vec<(u64, Room)>], demand: &Demand<'_>) -> Option<(u64, Vec<usize>)> {
-    let groups: Vec<Vec<usize>> = if demand.adjacent {
-        racks(sites).into_values().collect()
-    } else {
-        vec![(0..sites.len()).collect()]
-    };
+pub(super) fn earliest(sites: &Sites, ends: &[Vec<(u64, Room)>], demand: &Demand<'_>) -> Option<(u64, Vec<usize>)> {
+    let groups = sites.groups(demand.adjacent);
     let mut best: Option<(u64, Vec<usize>)> = None;
     for group in groups {
         let mut free: BTreeMap<usize, Room> = group.iter().map(|at| (*at, sites[*at].open())).collect();
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -6,6 +6,7 @@
 use super::claim::{self, Victim};
 use super::job::weight;
 use super::place::Demand;
+use super::sites::Sites;
 use super::{Dispatcher, Site, UnitState};
 use crate::port::Room;
 
@@ -23,23 +24,23 @@
 }
 
 impl Dispatcher {
-    /// Accelerators that the urgent jobs of a team take or ask for.
-    pub(super) fn claimed(&self, team: &str) -> u64 {
-        let mut claimed = 0;
+    /// Accelerators that the urgent jobs of each team take or ask for.
+    pub(super) fn claimed(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut claimed: BTreeMap<Arc<str>, u64> = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.submission.team != team || job.phase.is_final() || !job.is_urgent() {
+            if job.phase.is_final() || !job.is_urgent() {
                 continue;
             }
-            claimed += job.claimed();
+            *claimed.entry(Arc::clone(&job.team)).or_default() += job.claimed();
         }
         claimed
     }
 
     /// Whether the guarantee of its team covers a job.
-    pub(super) fn is_owed(&self, id: &Arc<str>) -> bool {
-        let team = &*self.jobs[id].submission.team;
+    pub(super) fn is_owed(&self, id: &Arc<str>, claimed: &BTreeMap<Arc<str>, u64>) -> bool {
+        let team = &self.jobs[id].team;
         let guaranteed = self.policy.teams.get(team).map_or(0, |team| team.guaranteed);
-        self.claimed(team) <= guaranteed
+        claimed.get(team).copied().unwrap_or(0) <= guaranteed
     }
 
     /// Whether a guarantee would be met late if room were not made now, whatever it costs.
@@ -61,7 +62,7 @@
     /// jobs of teams that take more than their guarantee.
     pub(super) fn plan_claim(
         &self,
-        sites: &[Site],
+        sites: &Sites,
         demand: &Demand<'_>,
         borrowed: bool,
         now: u64,
@@ -91,7 +92,7 @@
         &mut self,
         id: &Arc<str>,
         position: usize,
-        sites: &mut [Site],
+        sites: &mut Sites,
         claim: Claim,
         victims: Vec<Victim>,
         now: u64,
@@ -107,10 +108,11 @@
 
     /// Units that may be stopped for an urgent one.
     pub(super) fn victims(&self, sites: &[Site], borrowed: bool, now: u64) -> Vec<Victim> {
+        let claimed = if borrowed { self.claimed() } else { BTreeMap::new() };
         let index: BTreeMap<&Arc<str>, usize> = sites.iter().enumerate().map(|(at, site)| (&site.name, at)).collect();
         let mut victims = Vec::new();
         for (id, job) in &self.jobs {
-            if job.queue.is_none() || job.is_urgent() && (!borrowed || self.is_owed(id)) {
+            if job.queue.is_none() || job.is_urgent() && (!borrowed || self.is_owed(id, &claimed)) {
                 continue;
             }
             for (position, unit) in job.units.iter().enumerate() {
@@ -145,8 +147,8 @@
 }
 
 /// Keeps the room of a claim on its sites, or gives it back.
-pub(super) fn hold_back(sites: &mut [Site], claim: &Claim, back: bool) {
-    for site in sites {
+pub(super) fn hold_back(sites: &mut Sites, claim: &Claim, back: bool) {
+    for site in sites.iter_mut() {
         let Some(times) = claim.sites.get(&site.name) else {
             continue;
         };
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -12,13 +12,15 @@
 use super::pace;
 use super::place::{self, Demand};
 use super::preempt::hold_back;
+use super::sites::Sites;
 use super::{Dispatcher, Endpoint, Member, MemberState, Site, Start, UnitState};
 use crate::graph::Phase;
 use crate::port::Room;
 
 impl Dispatcher {
     /// Sites of a pool with the room that is free.
-    pub(super) fn sites(&self, pool: &str, now: u64) -> Vec<Site> {
+    pub(super) fn sites(&self, pool: &str, now: u64) -> Sites {
+        let clearing = self.jobs.values().any(|job| job.units.iter().any(|unit| unit.state == UnitState::Clearing));
         let mut sites = Vec::new();
         for (name, endpoint) in &self.endpoints {
             if *endpoint.entry.pool != *pool || !endpoint.is_open(now) {
@@ -28,14 +30,15 @@
                 name: Arc::clone(name),
                 rack: endpoint.entry.rack.clone(),
                 labels: endpoint.entry.labels.clone(),
+                capacity: endpoint.entry.capacity,
                 free: endpoint.free(),
-                clearing: self.clearing(endpoint),
+                clearing: if clearing { self.clearing(endpoint) } else { Room::default() },
                 held: Room::default(),
                 speed: endpoint.pace.estimate(self.typical).exp(),
                 promised: 0,
             });
         }
-        sites
+        Sites::new(sites)
     }
 
     /// Room of the runs on an endpoint that are being stopped.
@@ -68,7 +71,7 @@
             order.push((Rank::of(job, &self.works, now), Arc::clone(id)));
         }
         order.sort_unstable();
-        let mut pools: BTreeMap<Arc<str>, Vec<Site>> = BTreeMap::new();
+        let mut pools: BTreeMap<Arc<str>, Sites> = BTreeMap::new();
         let mut reserved = 0;
         for (rank, id) in order {
             let job = &self.jobs[&id];
@@ -93,21 +96,25 @@
         &mut self,
         id: &Arc<str>,
         rank: Rank,
-        mut sites: Vec<Site>,
+        mut sites: Sites,
         reserved: &mut usize,
         now: u64,
         wall_ms: u64,
-    ) -> Vec<Site> {
+    ) -> Sites {
         // Equal tasks of a step that found no room need not be tried again.
         let mut failed: BTreeSet<(u32, usize)> = BTreeSet::new();
+        let mut due: BTreeMap<(u32, usize), bool> = BTreeMap::new();
         let units = self.jobs[id].units.len();
         for position in 0..units {
             let job = &self.jobs[id];
             let unit = &job.units[position];
-            if unit.state != UnitState::Waiting || unit.not_before > now || !job.is_due(position, wall_ms) {
+            if unit.state != UnitState::Waiting || unit.not_before > now {
                 continue;
             }
             let kind = (unit.occurrence, unit.step);
+            if !*due.entry(kind).or_insert_with(|| job.is_due(position, wall_ms)) {
+                continue;
+            }
             if failed.contains(&kind) {
                 continue;
             }
@@ -115,13 +122,13 @@
             if let Some(claim) = &claim {
                 hold_back(&mut sites, claim, true);
             }
-            let mut demand = self.demand(id, position, &rank, now);
+            let mut demand = self.demand(&sites, id, position, &rank, now);
             if let Some(claim) = &claim {
                 demand.adjacent = claim.adjacent;
                 demand.least_speed = claim.least_speed;
             } else if rank.is_urgent() {
                 // On a slow endpoint it would be late, and would keep its room for longer.
-                demand.least_speed = place::slow_below(&sites);
+                demand.least_speed = sites.slow_below();
             }
             if let Some(chosen) = place::place(&sites, &demand) {
                 self.claims.remove(&(Arc::clone(id), position));
@@ -134,7 +141,7 @@
                 // The endpoints on which it failed are better than none.
                 let relaxed = Demand {
                     avoid: &BTreeSet::new(),
-                    ..self.demand(id, position, &rank, now)
+                    ..self.demand(&sites, id, position, &rank, now)
                 };
                 if self.sites_left(&sites, &demand) == 0
                     && let Some(chosen) = place::place(&sites, &relaxed)
@@ -148,7 +155,7 @@
                 continue;
             }
             if rank.is_urgent() {
-                let owed = self.is_owed(id) && self.is_pressing(id, now);
+                let owed = self.is_pressing(id, now) && self.is_owed(id, &self.claimed());
                 let mut plan = self.plan_claim(&sites, &demand, false, now).filter(|(_, victims)| {
                     let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
                     owed || cost <= self.claim_limit(id, position, now)
@@ -179,15 +186,15 @@
         sites
     }
 
-    pub(super) fn sites_left(&self, sites: &[Site], demand: &Demand<'_>) -> u32 {
+    pub(super) fn sites_left(&self, sites: &Sites, demand: &Demand<'_>) -> u32 {
         sites
             .iter()
-            .map(|site| demand.times(site, &self.endpoints[&site.name].entry.capacity))
+            .map(|site| demand.times(site, &site.capacity))
             .sum()
     }
 
     /// What a unit asks for.
-    pub(super) fn demand(&self, id: &Arc<str>, position: usize, rank: &Rank, now: u64) -> Demand<'_> {
+    pub(super) fn demand(&self, sites: &Sites, id: &Arc<str>, position: usize, rank: &Rank, now: u64) -> Demand<'_> {
         let job = &self.jobs[id];
         let unit = &job.units[position];
         let step = job.step(position);
@@ -202,7 +209,6 @@
                 }
             }
         }
-        let pool = job.queue.as_ref().map_or("", |queue| &*queue.pool);
         let mut demand = Demand {
             need: job.need(position),
             count: unit.size,
@@ -217,27 +223,19 @@
             least_speed: 0.0,
             ends_at: now + job.expected_ms(step, &self.works) as u64,
         };
-        let whole: Vec<(Site, Room)> = self
-            .sites(pool, now)
-            .into_iter()
-            .map(|site| {
-                let capacity = self.endpoints[&site.name].entry.capacity;
-                (site, capacity)
-            })
-            .collect();
         // Work away from its data takes several times as long, so it waits for the rack for about one run.
         let waited = now.saturating_sub(job.accepted);
         demand.near = !step.rack.is_empty()
             && (waited as f64) < 2.0 * job.expected_ms(step, &self.works)
-            && whole.iter().any(|(site, _)| site.is_in(&step.rack));
+            && sites.iter().any(|site| site.is_in(&step.rack));
         if demand.adjacent && demand.count > 1 {
-            demand.adjacent = place::fits_a_rack(&whole, &demand);
+            demand.adjacent = place::fits_a_rack(sites, &demand);
         }
         demand
     }
 
     /// Gives a unit its endpoints.
-    pub(super) fn start(&mut self, id: &Arc<str>, position: usize, sites: &mut [Site], chosen: &[usize], now: u64) {
+    pub(super) fn start(&mut self, id: &Arc<str>, position: usize, sites: &mut Sites, chosen: &[usize], now: u64) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let need = job.need(position);
         let names: Vec<Arc<str>> = (0..chosen.len()).map(|at| job.task(position, at as u32)).collect();
@@ -294,8 +292,8 @@
     }
 
     /// Keeps the sites where a blocked gang can start first for it.
-    pub(super) fn reserve(&self, id: &Arc<str>, position: usize, sites: &mut [Site], rank: &Rank, now: u64) {
-        let demand = self.demand(id, position, rank, now);
+    pub(super) fn reserve(&self, id: &Arc<str>, position: usize, sites: &mut Sites, rank: &Rank, now: u64) {
+        let demand = self.demand(sites, id, position, rank, now);
         let ends: Vec<Vec<(u64, Room)>> = sites.iter().map(|site| self.ends(&site.name, now)).collect();
         let Some((when, chosen)) = place::earliest(sites, &ends, &demand) else {
             return;
--- a/src/dispatch/site.rs
+++ b/src/dispatch/site.rs
@@ -13,6 +13,8 @@
     pub rack: Option<Arc<str>>,
     /// Labels.
     pub labels: Vec<Arc<str>>,
+    /// Room of the whole endpoint.
+    pub capacity: Room,
     /// Room that nothing takes.
     pub free: Room,
     /// Room of runs that are being stopped.
--- /dev/null
+++ b/src/dispatch/sites.rs
@@ -0,0 +1,66 @@
+//! All endpoints of a pool as a placement sees them.
+
+use std::collections::BTreeMap;
+use std::ops::{Deref, DerefMut};
+use std::sync::Arc;
+
+use super::Site;
+
+/// Share of the best speed below which an endpoint counts as slow; endpoints differ by factors from 2 to 4.
+const SLOW: f64 = 0.55;
+
+/// The open endpoints of a pool.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Sites {
+    all: Vec<Site>,
+    racks: Vec<Vec<usize>>,
+    slow_below: f64,
+}
+
+impl Sites {
+    /// Groups sites by rack; those without one form a group of their own.
+    pub fn new(all: Vec<Site>) -> Self {
+        let mut racks: BTreeMap<Option<Arc<str>>, Vec<usize>> = BTreeMap::new();
+        for (at, site) in all.iter().enumerate() {
+            racks.entry(site.rack.clone()).or_default().push(at);
+        }
+        Self {
+            racks: racks.into_values().collect(),
+            slow_below: all.iter().map(|site| site.speed).fold(0.0, f64::max) * SLOW,
+            all,
+        }
+    }
+
+    /// Positions of the sites of each rack.
+    pub fn racks(&self) -> &[Vec<usize>] {
+        &self.racks
+    }
+
+    /// Groups in which a unit has to be: racks, or all sites.
+    pub fn groups(&self, adjacent: bool) -> Vec<Vec<usize>> {
+        if adjacent {
+            self.racks.clone()
+        } else {
+            vec![(0..self.all.len()).collect()]
+        }
+    }
+
+    /// Speed below which a site is slow.
+    pub fn slow_below(&self) -> f64 {
+        self.slow_below
+    }
+}
+
+impl Deref for Sites {
+    type Target = [Site];
+
+    fn deref(&self) -> &[Site] {
+        &self.all
+    }
+}
+
+impl DerefMut for Sites {
+    fn deref_mut(&mut self) -> &mut [Site] {
+        &mut self.all
+    }
+}
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -20,9 +20,6 @@
 /// Key of the only row of a table that has one.
 pub(super) const ONLY: &str = "1";
 
-/// Longest pause of the main loop; resends and lapses are looked at this often.
-const TICK: Duration = Duration::from_millis(50);
-
 /// Pause after the store declined a call.
 const DECLINED_PAUSE: Duration = Duration::from_millis(150);
 
@@ -342,6 +339,7 @@
                 });
             }
         }
+        let idle = Duration::from_millis(progress.dispatcher.borrow().idle_ms(candidate.clock.now()).max(1));
         tokio::select! {
             Some(written) = writing.join_next() => match written {
                 Ok((snapshot, result)) => {
@@ -357,7 +355,7 @@
                 }
                 Err(error) => log::error!(error:% = error; "a write ended badly"),
             },
-            _ = timeout(TICK, progress.wake.notified()) => {}
+            _ = timeout(idle, progress.wake.notified()) => {}
         }
     }
 }
