Wait briefly for changes, so that a silent connection is noticed

Change: a feed waits 1 s at a time. Ruled out: a keep-alive of TCP, which shows a dead peer but not a silent store.

--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -23,8 +23,9 @@
 /// Pause after the store declined a call.
 const DECLINED_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest wait for changes in one call.
-const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait for changes in one call. A connection may fall silent for good, and jobs and endpoints are not seen until
+/// that is noticed.
+const FEED_WAIT: Duration = Duration::from_secs(1);
 
 /// Least time between two writes of the number of waiting jobs, in milliseconds.
 const PENDING_MS: u64 = 500;
