Give late urgent jobs no claims; tell sooner that the store declines

Cause: a late urgent job is worth a fifth but could stop up to four times its own work; a call that the store declined was repeated until the caller's deadline, although another instance may be served; a stopping leader stored starts that it never sent, so that their units lost a run. Change: late jobs claim only under a guarantee; declined calls are given up after 250 ms with Retry-After 1, or 2 once the store has been away for 3 s; a stopping leader places nothing more and releases the lead when all is stored.

--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -122,7 +122,9 @@
             return None;
         }
         // The cheapest for the room that they free come first.
-        let price = |(victim, freed): &(usize, Room)| (1.0 + self.victims[*victim].cost) / share(freed, &self.demand.need).max(0.01);
+        let price = |(victim, freed): &(usize, Room)| {
+            (1.0 + self.victims[*victim].cost) / share(freed, &self.demand.need).max(0.01)
+        };
         left.sort_by(|a, b| price(a).total_cmp(&price(b)));
         let mut chosen: Vec<(usize, Room)> = Vec::new();
         for victim in left {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -29,6 +29,8 @@
     pub(super) typical: f64,
     /// Something changed that may let a waiting unit start.
     pub(super) changed: bool,
+    /// Nothing more is placed.
+    paused: bool,
     last_round: u64,
     next_check: u64,
     /// When this leader took over, in milliseconds.
@@ -60,6 +62,7 @@
             typical: 0.0,
             learned: BTreeMap::new(),
             changed: true,
+            paused: false,
             last_round: 0,
             next_check: 0,
             since: now,
@@ -238,6 +241,11 @@
         Some(until)
     }
 
+    /// Places nothing more: a start that is recorded and not sent would cost its unit a run.
+    pub fn pause(&mut self) {
+        self.paused = true;
+    }
+
     /// Time until the next step has something to do, in milliseconds.
     pub fn idle_ms(&self, now: u64) -> u64 {
         let round = if self.changed { ROUND_MIN_MS } else { ROUND_MS };
@@ -251,8 +259,12 @@
             self.lapse(now);
             self.resend(now);
         }
-        let due = if self.changed { self.last_round + ROUND_MIN_MS } else { self.last_round + ROUND_MS };
-        if now >= due {
+        let due = if self.changed {
+            self.last_round + ROUND_MIN_MS
+        } else {
+            self.last_round + ROUND_MS
+        };
+        if now >= due && !self.paused {
             self.changed = false;
             self.last_round = now;
             self.round(now, wall_ms);
--- a/src/dispatch/order.rs
+++ b/src/dispatch/order.rs
@@ -35,10 +35,15 @@
         Self { class, due }
     }
 
-    /// Whether the job may not take room that is kept for others.
+    /// Whether the job may preempt others.
     pub fn is_urgent(&self) -> bool {
         self.class < 2
     }
+
+    /// Whether the job is late already.
+    pub fn is_late(&self) -> bool {
+        self.class == 1 || self.class >= u32::MAX / 2
+    }
 }
 
 impl Eq for Rank {}
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -136,7 +136,10 @@
 /// Whether some rack could hold the unit if it were empty.
 pub(super) fn fits_a_rack(sites: &Sites, demand: &Demand<'_>) -> bool {
     for group in sites.racks() {
-        let times: u32 = group.iter().map(|at| demand.times(&sites[*at], &sites[*at].capacity)).sum();
+        let times: u32 = group
+            .iter()
+            .map(|at| demand.times(&sites[*at], &sites[*at].capacity))
+            .sum();
         if times >= demand.count {
             return true;
         }
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -20,7 +20,10 @@
 impl Dispatcher {
     /// Sites of a pool with the room that is free.
     pub(super) fn sites(&self, pool: &str, now: u64) -> Sites {
-        let clearing = self.jobs.values().any(|job| job.units.iter().any(|unit| unit.state == UnitState::Clearing));
+        let clearing = self
+            .jobs
+            .values()
+            .any(|job| job.units.iter().any(|unit| unit.state == UnitState::Clearing));
         let mut sites = Vec::new();
         for (name, endpoint) in &self.endpoints {
             if *endpoint.entry.pool != *pool || !endpoint.is_open(now) {
@@ -32,7 +35,11 @@
                 labels: endpoint.entry.labels.clone(),
                 capacity: endpoint.entry.capacity,
                 free: endpoint.free(),
-                clearing: if clearing { self.clearing(endpoint) } else { Room::default() },
+                clearing: if clearing {
+                    self.clearing(endpoint)
+                } else {
+                    Room::default()
+                },
                 held: Room::default(),
                 speed: endpoint.pace.estimate(self.typical).exp(),
                 promised: 0,
@@ -158,7 +165,7 @@
                 let owed = self.is_pressing(id, now) && self.is_owed(id, &self.claimed());
                 let mut plan = self.plan_claim(&sites, &demand, false, now).filter(|(_, victims)| {
                     let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
-                    owed || cost <= self.claim_limit(id, position, now)
+                    owed || !rank.is_late() && cost <= self.claim_limit(id, position, now)
                 });
                 demand.least_speed = 0.0;
                 let slow = if plan.is_none() {
@@ -187,10 +194,7 @@
     }
 
     pub(super) fn sites_left(&self, sites: &Sites, demand: &Demand<'_>) -> u32 {
-        sites
-            .iter()
-            .map(|site| demand.times(site, &site.capacity))
-            .sum()
+        sites.iter().map(|site| demand.times(site, &site.capacity)).sum()
     }
 
     /// What a unit asks for.
--- a/src/intake/desk.rs
+++ b/src/intake/desk.rs
@@ -16,6 +16,12 @@
 /// Pause before a call to the store is repeated.
 const RETRY: Duration = Duration::from_millis(60);
 
+/// How long a call is repeated that the store declines. Nothing was done then, and another instance may be served.
+const DECLINED_FOR: Duration = Duration::from_millis(250);
+
+/// Age of the configuration from which the store counts as away for longer, in milliseconds.
+const AWAY_MS: u64 = 3_000;
+
 /// Answers callers from the configuration and the store.
 #[derive(Debug)]
 pub struct Desk<R> {
@@ -37,6 +43,16 @@
         &self.view
     }
 
+    /// When a caller that was not served should come back, in seconds. At first another instance may well serve it; a store
+    /// that has been away for some time is likely to stay away, and callers try only a few times.
+    pub fn retry_after_s(&self) -> u64 {
+        if self.view.age_ms().is_none_or(|age| age >= AWAY_MS) {
+            2
+        } else {
+            1
+        }
+    }
+
     /// Finds the queue and the team of a request.
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admission, Denial> {
         let policy = self.view.fresh().ok_or(Denial::Stale)?;
@@ -133,18 +149,17 @@
 
     async fn row(&self, table: &str, key: &str, deadline: Instant) -> Result<Option<Row>, Denial> {
         let range = Range::one(table, key);
-        let mut last = Denial::Unavailable;
+        let give_up = (Instant::now() + DECLINED_FOR).min(deadline);
         loop {
             match timeout_at(deadline, self.rows.read(&range)).await {
                 Ok(Ok(page)) => return Ok(page.rows.into_iter().find(|row| *row.key == *key)),
                 Ok(Err(error)) => {
                     log::debug!(table, key, error:% = error; "cannot read a row");
-                    last = Denial::Unavailable;
                 }
-                Err(_) => return Err(last),
+                Err(_) => return Err(Denial::Unavailable),
             }
-            if Instant::now() + RETRY >= deadline {
-                return Err(last);
+            if Instant::now() + RETRY >= give_up {
+                return Err(Denial::Unavailable);
             }
             sleep(RETRY).await;
         }
@@ -153,6 +168,7 @@
     /// Repeats a conditional write until its outcome is known.
     async fn write(&self, commit: &Commit, deadline: Instant) -> Result<(), Denial> {
         let mut sent = false;
+        let give_up = (Instant::now() + DECLINED_FOR).min(deadline);
         loop {
             match timeout_at(deadline, self.rows.commit(commit)).await {
                 Ok(Ok(_) | Err(StoreError::Conflict(_))) => return Ok(()),
@@ -163,8 +179,12 @@
                 }
                 Err(_) => return Err(Denial::Unknown),
             }
+            // Only a write that was never sent out without an answer can be said not to have happened.
+            if !sent && Instant::now() + RETRY >= give_up {
+                return Err(Denial::Unavailable);
+            }
             if Instant::now() + RETRY >= deadline {
-                return Err(if sent { Denial::Unknown } else { Denial::Unavailable });
+                return Err(Denial::Unknown);
             }
             sleep(RETRY).await;
         }
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -286,12 +286,16 @@
 {
     let mut beats = 0;
     let mut beat_due = 0;
+    let mut releasing = false;
     let mut pending = BTreeMap::new();
     let mut pending_due = 0;
     let mut learned_due = candidate.clock.now() + LEARNED_MS;
     let mut writing: JoinSet<(Snapshot, Result<u64, StoreError>)> = JoinSet::new();
     while !progress.deposed.get() {
         let stopping = candidate.stop.is_stopping();
+        if stopping {
+            progress.dispatcher.borrow_mut().pause();
+        }
         let now = candidate.clock.now();
         if let Some(policy) = candidate.view.policy() {
             progress.dispatcher.borrow_mut().configure(policy);
@@ -306,14 +310,15 @@
         if writing.is_empty() {
             let snapshot = progress.dispatcher.borrow_mut().snapshot();
             let mut commit = Commit::default();
-            if now >= beat_due || stopping {
+            let release = stopping && snapshot.is_none();
+            if now >= beat_due || release {
                 beats += 1;
                 beat_due = now + candidate.timing.beat_ms;
                 let beat = Beat {
                     holder: candidate.name.to_string(),
                     fence: seat.fence,
                     count: beats,
-                    released: stopping,
+                    released: release,
                 };
                 commit.put.push((RowKey::new(LEAD, ONLY), beat.encode_to_vec()));
             }
@@ -332,6 +337,7 @@
             }
             if snapshot.is_some() || !commit.put.is_empty() {
                 let snapshot = snapshot.unwrap_or_default();
+                releasing = release;
                 fill(&mut commit, &snapshot, &seat, candidate);
                 let rows = candidate.rows.clone();
                 writing.spawn_local(async move {
@@ -350,7 +356,7 @@
                         beat_due = 0;
                         pending.clear();
                     }
-                    if renewed && stopping && beat_due > now {
+                    if renewed && releasing {
                         return;
                     }
                 }
