--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -135,6 +135,7 @@
             return;
         }
         if unit.state == UnitState::Active {
+            self.counts.ended(why);
             unit.state = UnitState::Clearing;
             log::info!(job:% = id, unit = position, run = unit.run, why; "run ends");
         }
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -5,7 +5,7 @@
 
 use super::endpoint::Occupant;
 use super::preempt::Claim;
-use super::{Effect, Endpoint, Hold, Job, Pace, Start, Tuning, Works};
+use super::{Counts, Effect, Endpoint, Hold, Job, MemberState, Pace, Start, Tuning, Works};
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::port::{EndpointEntry, Policy, Room};
 
@@ -29,6 +29,8 @@
     pub(super) typical: f64,
     /// Something changed that may let a waiting unit start.
     pub(super) changed: bool,
+    /// Starts decided, and ends by reason, since they were last taken.
+    pub(super) counts: Counts,
     /// Nothing more is placed.
     paused: bool,
     last_round: u64,
@@ -62,6 +64,7 @@
             typical: 0.0,
             learned: BTreeMap::new(),
             changed: true,
+            counts: Counts::default(),
             paused: false,
             last_round: 0,
             next_check: 0,
@@ -241,6 +244,35 @@
         Some(until)
     }
 
+    /// Takes the counts since the last call.
+    pub fn take_counts(&mut self) -> Counts {
+        std::mem::take(&mut self.counts)
+    }
+
+    /// Orders without an answer that settles them.
+    pub fn doubts(&self) -> usize {
+        let members = self
+            .jobs
+            .values()
+            .flat_map(|job| &job.units)
+            .flat_map(|unit| &unit.members);
+        members
+            .filter(|member| {
+                matches!(
+                    member.state,
+                    MemberState::Recovered
+                        | MemberState::Sent { tries: 2.., .. }
+                        | MemberState::Stopping { acked: None, .. }
+                )
+            })
+            .count()
+    }
+
+    /// Endpoints that take work.
+    pub fn open_endpoints(&self, now: u64) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.is_open(now)).count()
+    }
+
     /// Places nothing more: a start that is recorded and not sent would cost its unit a run.
     pub fn pause(&mut self) {
         self.paused = true;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 
 mod answers;
 mod claim;
+mod counts;
 mod dispatcher;
 mod effect;
 mod endpoint;
@@ -30,6 +31,7 @@
 mod unit;
 mod works;
 
+pub use counts::Counts;
 pub use dispatcher::Dispatcher;
 pub use effect::{Effect, Start, Stop};
 pub use endpoint::{Endpoint, Hold};
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -209,6 +209,7 @@
         }
         match end.outcome {
             Outcome::Done if !lasting => {
+                self.counts.ended("done");
                 unit.state = UnitState::Done;
                 // The end may be forgotten by its endpoint only once this is stored.
                 self.dirty.insert(Arc::clone(&occupant.job));
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -150,7 +150,7 @@
                     avoid: &BTreeSet::new(),
                     ..self.demand(&sites, id, position, &rank, now)
                 };
-                if self.sites_left(&sites, &demand) == 0
+                if sites.iter().all(|site| demand.times(site, &site.capacity) == 0)
                     && let Some(chosen) = place::place(&sites, &relaxed)
                 {
                     self.start(id, position, &mut sites, &chosen, now);
@@ -193,10 +193,6 @@
         sites
     }
 
-    pub(super) fn sites_left(&self, sites: &Sites, demand: &Demand<'_>) -> u32 {
-        sites.iter().map(|site| demand.times(site, &site.capacity)).sum()
-    }
-
     /// What a unit asks for.
     pub(super) fn demand(&self, sites: &Sites, id: &Arc<str>, position: usize, rank: &Rank, now: u64) -> Demand<'_> {
         let job = &self.jobs[id];
@@ -286,6 +282,7 @@
         if job.phase == Phase::Queued {
             job.phase = Phase::Running;
         }
+        self.counts.starts += 1;
         let priority = job.queue.as_ref().map_or(0, |queue| queue.priority);
         let step = job.step(position);
         let (saves, cores) = (step.checkpoints, weight(&need));
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -12,6 +12,7 @@
 use super::{Beat, LedgerEntry};
 use crate::dispatch::Tuning;
 use crate::intake::{Stop, View};
+use crate::metric::InstanceMetrics;
 use crate::net::SteadyClock;
 use crate::port::{Commit, Entries, Orders, Range, RowKey, Rows, StoreError};
 
@@ -43,6 +44,8 @@
     pub view: Rc<View>,
     /// Whether the instance is to stop.
     pub stop: Rc<Stop>,
+    /// Metrics of the instance.
+    pub metrics: Rc<InstanceMetrics>,
     /// Times and weights of decisions.
     pub tuning: Tuning,
     /// Times of the election.
@@ -66,6 +69,7 @@
             entries: self.entries.clone(),
             view: Rc::clone(&self.view),
             stop: Rc::clone(&self.stop),
+            metrics: Rc::clone(&self.metrics),
             tuning: self.tuning.clone(),
             timing: self.timing.clone(),
             clock: self.clock,
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -33,6 +33,9 @@
 /// Time between two writes of what was learned, in milliseconds; a new leader starts with figures of about this age.
 const LEARNED_MS: u64 = 3_000;
 
+/// Time between two updates of the metrics, in milliseconds; shorter than any usual interval of collection.
+const METRICS_MS: u64 = 1_000;
+
 /// The ledger row as the leader last wrote it.
 #[derive(Debug, Clone)]
 pub(super) struct Seat {
@@ -70,6 +73,7 @@
         loaded.endpoints,
     ));
     main_loop(candidate, &progress, seat, &mut tasks).await;
+    candidate.metrics.fence.set(0);
     tasks.shutdown().await;
     log::info!(fence = progress.fence; "no longer leads");
 }
@@ -286,6 +290,7 @@
 {
     let mut beats = 0;
     let mut beat_due = 0;
+    let mut metrics_due = 0;
     let mut releasing = false;
     let mut pending = BTreeMap::new();
     let mut pending_due = 0;
@@ -307,6 +312,10 @@
         }
         hold_endpoints(candidate, progress, tasks);
         while tasks.try_join_next().is_some() {}
+        if now >= metrics_due {
+            metrics_due = now + METRICS_MS;
+            measure(candidate, progress, now);
+        }
         if writing.is_empty() {
             let snapshot = progress.dispatcher.borrow_mut().snapshot();
             let mut commit = Commit::default();
@@ -367,6 +376,31 @@
     }
 }
 
+fn measure<R, O, E>(candidate: &Candidate<R, O, E>, progress: &Progress, now: u64) {
+    let metrics = &candidate.metrics;
+    let mut dispatcher = progress.dispatcher.borrow_mut();
+    let counts = dispatcher.take_counts();
+    metrics.starts.inc_by(counts.starts);
+    for (reason, count) in counts.ends {
+        metrics.ended(&reason, count);
+    }
+    let jobs = dispatcher.jobs().values();
+    metrics.waiting.set(
+        jobs.clone()
+            .filter(|job| job.phase == Phase::Queued)
+            .count()
+            .cast_signed() as i64,
+    );
+    metrics
+        .running
+        .set(jobs.filter(|job| job.phase == Phase::Running).count().cast_signed() as i64);
+    metrics
+        .endpoints
+        .set(dispatcher.open_endpoints(now).cast_signed() as i64);
+    metrics.doubts.set(dispatcher.doubts().cast_signed() as i64);
+    metrics.fence.set(progress.fence.cast_signed());
+}
+
 fn hold_endpoints<R, O, E>(candidate: &Candidate<R, O, E>, progress: &Rc<Progress>, tasks: &mut JoinSet<()>)
 where
     O: Orders,
--- a/src/logging/start.rs
+++ b/src/logging/start.rs
@@ -6,6 +6,7 @@
 use log::LevelFilter;
 
 use super::LoggingError;
+use super::outlet::Outlet;
 use crate::config::{LogFormat, LogLevel, LogSettings};
 
 /// The running log; flushed when it is dropped.
@@ -21,7 +22,7 @@
 
 impl Drop for Logging {
     fn drop(&mut self) {
-        self.handle.flush();
+        self.handle.shutdown();
     }
 }
 
@@ -37,12 +38,7 @@
 
 /// Starts the log of the process; fails if it has one already.
 pub fn start(settings: &LogSettings) -> Result<Logging, LoggingError> {
-    // Libraries log each connection at lower levels.
-    let specification = LogSpecification::builder()
-        .default(LevelFilter::Warn)
-        .module("yuccaridge", filter(settings.level))
-        .module("span", LevelFilter::Info)
-        .build();
+    let specification = specification(settings.level);
     let format = match settings.format {
         LogFormat::Plain => detailed_format,
         LogFormat::Json => json_format,
@@ -57,3 +53,23 @@
         .start()?;
     Ok(Logging { handle })
 }
+
+/// Libraries log each connection at lower levels.
+fn specification(level: LogLevel) -> LogSpecification {
+    LogSpecification::builder()
+        .default(LevelFilter::Warn)
+        .module("yuccaridge", filter(level))
+        .module("span", LevelFilter::Info)
+        .build()
+}
+
+/// Starts the log of the process as JSON lines on standard output that are bounded in number and never waited for.
+pub fn start_bounded(level: LogLevel) -> Result<Logging, LoggingError> {
+    let handle = Logger::with(specification(level))
+        .log_to_writer(Box::new(Outlet::start(std::io::stdout())))
+        .use_utc()
+        .error_channel(ErrorChannel::DevNull)
+        .panic_if_error_channel_is_broken(false)
+        .start()?;
+    Ok(Logging { handle })
+}
--- /dev/null
+++ b/src/metric/instance.rs
@@ -0,0 +1,122 @@
+//! Metrics of an instance that serves job graphs.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+/// What was asked and how it was answered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AnswerLabel {
+    /// Call.
+    pub call: &'static str,
+    /// Answer, or the reason why it was denied.
+    pub answer: String,
+}
+
+/// What was decided or seen, and why.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Reason or outcome.
+    pub reason: String,
+}
+
+/// Metrics of an instance that serves job graphs.
+#[derive(Debug)]
+pub struct InstanceMetrics {
+    registry: Registry,
+    answers: Family<AnswerLabel, Counter>,
+    times: Histogram,
+    /// Ends of runs by outcome or by the reason for the stop; of this instance's reigns only.
+    pub ends: Family<ReasonLabel, Counter>,
+    /// Starts that were decided.
+    pub starts: Counter,
+    /// Jobs that have not begun.
+    pub waiting: Gauge,
+    /// Jobs that have begun and not ended.
+    pub running: Gauge,
+    /// Endpoints that take work.
+    pub endpoints: Gauge,
+    /// Starts and stops without an answer.
+    pub doubts: Gauge,
+    /// Fencing token while this instance leads, else 0.
+    pub fence: Gauge,
+    /// Age of the last confirmation of the configuration.
+    pub age: Gauge,
+    /// Version of the configuration in force.
+    pub version: Gauge,
+}
+
+impl Default for InstanceMetrics {
+    fn default() -> Self {
+        // 1 ms to 16 s: a call of the store takes 4 ms, the longest deadline is some seconds.
+        let times = Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("yuccaridge"),
+            answers: Family::default(),
+            times,
+            ends: Family::default(),
+            starts: Counter::default(),
+            waiting: Gauge::default(),
+            running: Gauge::default(),
+            endpoints: Gauge::default(),
+            doubts: Gauge::default(),
+            fence: Gauge::default(),
+            age: Gauge::default(),
+            version: Gauge::default(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register_with_unit(
+            "answer_time",
+            "Time to answer a caller",
+            Unit::Seconds,
+            metrics.times.clone(),
+        );
+        registry.register("run_ends", "Ends of runs, by outcome or reason", metrics.ends.clone());
+        registry.register("starts", "Starts that were decided", metrics.starts.clone());
+        registry.register("jobs_waiting", "Jobs that have not begun", metrics.waiting.clone());
+        registry.register("jobs_running", "Jobs that have begun", metrics.running.clone());
+        registry.register("endpoints_open", "Endpoints that take work", metrics.endpoints.clone());
+        registry.register("orders_in_doubt", "Orders without an answer", metrics.doubts.clone());
+        registry.register(
+            "fence",
+            "Fencing token of the lead, 0 without it",
+            metrics.fence.clone(),
+        );
+        registry.register(
+            "config_age_ms",
+            "Age of the configuration, milliseconds",
+            metrics.age.clone(),
+        );
+        registry.register("config_version", "Configuration in force", metrics.version.clone());
+        metrics
+    }
+}
+
+impl InstanceMetrics {
+    /// Counts an answer to a caller.
+    pub fn answered(&self, call: &'static str, answer: String, time: Duration) {
+        self.answers.get_or_create(&AnswerLabel { call, answer }).inc();
+        self.times.observe(time.as_secs_f64());
+    }
+
+    /// Counts ends of runs.
+    pub fn ended(&self, reason: &str, count: u64) {
+        let reason = reason.to_owned();
+        self.ends.get_or_create(&ReasonLabel { reason }).inc_by(count);
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        if let Err(error) = text::encode(&mut out, &self.registry) {
+            log::error!(error:% = error; "metrics could not be written");
+        }
+        out
+    }
+}
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -3,8 +3,10 @@
 //! Labels have few values by design: steps, results, routes and pools, never jobs, teams or workers. At the target size
 //! that keeps the text below 100 KB.
 
+mod instance;
 mod label;
 mod metrics;
 
+pub use instance::{AnswerLabel, InstanceMetrics, ReasonLabel};
 pub use label::{Direction, Outgoing, PoolLabel, RequestLabel, Result, StepLabel};
 pub use metrics::Metrics;
