Do not send a start whose run has been given up

Change: a start asks for its lease just before it is sent, and gets none unless its member still waits for that run.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -235,9 +235,18 @@
         endpoint.wants_hold().then(|| endpoint.hold(&self.tuning, now))
     }
 
-    /// End of the lease of a start sent at `now`, on the clock of the endpoint; `None` if that clock is not known.
-    pub fn lease_start(&mut self, name: &Arc<str>, now: u64) -> Option<u64> {
-        let endpoint = self.endpoints.get_mut(name)?;
+    /// End of the lease of a start that is about to be sent at `now`, on the clock of the endpoint. `None` if it must not be
+    /// sent: that clock is not known, or the run has been given up since the start was decided.
+    pub fn lease_start(&mut self, start: &Start, now: u64) -> Option<u64> {
+        let unit = self.jobs.get(&start.job)?.units.get(start.unit)?;
+        let member = unit.members.get(start.member)?;
+        if unit.run != start.run
+            || member.endpoint != start.endpoint
+            || !matches!(member.state, MemberState::Sent { .. })
+        {
+            return None;
+        }
+        let endpoint = self.endpoints.get_mut(&start.endpoint)?;
         let span = self.tuning.start_lease_ms;
         let until = endpoint.until(now, span)?;
         endpoint.leased(&self.tuning, now, span);
--- a/src/lead/tend.rs
+++ b/src/lead/tend.rs
@@ -45,7 +45,7 @@
     O: Orders,
 {
     let now = progress.clock.now();
-    let until = progress.dispatcher.borrow_mut().lease_start(&start.endpoint, now);
+    let until = progress.dispatcher.borrow_mut().lease_start(&start, now);
     let answer = match (target(progress, &start.endpoint), until) {
         _ if !progress.reigns() => Err(OrderError::NotSent("the lead is not confirmed".to_owned())),
         (Some(target), Some(until_ms)) => {
@@ -60,7 +60,9 @@
             };
             orders.start(&target, &order).await
         }
-        _ => Err(OrderError::NotSent("the endpoint is not known".to_owned())),
+        _ => Err(OrderError::NotSent(
+            "the run was given up or the endpoint is not known".to_owned(),
+        )),
     };
     check_fence(progress, answer.as_ref().err());
     let now = progress.clock.now();
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -19,10 +19,12 @@
 const SEEDS: u64 = 40;
 
 /// Seeds that once failed, with the cause.
-const REGRESSIONS: [u64; 1] = [
+const REGRESSIONS: [u64; 2] = [
     // A start that was released and not sent yet did not extend the lease bound of an idle endpoint, so that its run
     // counted as lapsed and a second one was started.
     2,
+    // A start was sent although its run had been given up after the start was decided: its endpoint had started again.
+    1029,
 ];
 
 /// Time with faults, and after them, in milliseconds.
@@ -157,7 +159,15 @@
             Effect::Start(start) => Arc::clone(&start.endpoint),
             Effect::Stop(stop) => Arc::clone(&stop.endpoint),
         };
-        let until = self.dispatcher.lease_start(&endpoint, self.now);
+        let until = match &effect {
+            Effect::Start(start) => {
+                let Some(until) = self.dispatcher.lease_start(start, self.now) else {
+                    return self.answer(&effect, Err(OrderError::NotSent("given up".to_owned())));
+                };
+                until
+            }
+            Effect::Stop(_) => 0,
+        };
         let wrong = self.random.random_bool(self.trouble);
         if !self.reaches(&endpoint) {
             return self.answer(&effect, Err(OrderError::NotSent("cut".to_owned())));
@@ -168,12 +178,12 @@
                 at: self.now + delay,
                 effect: effect.clone(),
                 fence: self.fence,
-                until: until.unwrap_or(0),
+                until,
             };
             self.late.push(late);
             return self.answer(&effect, Err(lost()));
         }
-        let done = self.carry_out(&effect, self.fence, until.unwrap_or(0));
+        let done = self.carry_out(&effect, self.fence, until);
         self.answer(&effect, if wrong { Err(lost()) } else { done });
     }
 
