Judge noted ends by the lease, as the users' rule does

The users' rules say that an end does not count as noted if the lease of its endpoint has passed in between, and that this stands for good. Change: the fixture leaves such ends out; everything else is judged as before.

--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -46,6 +46,9 @@
     until: u64,
     running: BTreeMap<Arc<str>, Run>,
     ended: Vec<End>,
+    /// Ends after which the lease of the endpoint has passed. A leader that could not read them in time was right to start
+    /// the task again, so that noting them later binds nobody.
+    stale: BTreeSet<u64>,
     next: u64,
     refused: BTreeMap<Arc<str>, u32>,
 }
@@ -184,7 +187,7 @@
         fake.fence = fence;
         fake.until = fake.until.max(hold.until_ms.unwrap_or(0));
         for end in fake.ended.iter().filter(|end| end.number <= hold.seen) {
-            if end.outcome == Outcome::Done {
+            if end.outcome == Outcome::Done && !fake.stale.contains(&end.number) {
                 self.noted.insert(Arc::clone(&end.task));
             }
         }
@@ -218,6 +221,9 @@
                 *worked = (*worked).min(run.worked);
             }
         }
+        for fake in self.fakes.values_mut().filter(|fake| fake.until <= now) {
+            fake.stale.extend(fake.ended.iter().map(|end| end.number));
+        }
         let mut ends: Vec<(Arc<str>, Arc<str>, Outcome)> = Vec::new();
         for (endpoint, fake) in self.fakes.iter_mut().filter(|(_, fake)| fake.up) {
             for (text, run) in &mut fake.running {
@@ -286,6 +292,7 @@
             until: 0,
             running: BTreeMap::new(),
             ended: Vec::new(),
+            stale: BTreeSet::new(),
             next: 1,
             refused: BTreeMap::new(),
         }
