--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -137,6 +137,7 @@
         if unit.state == UnitState::Active {
             self.counts.ended(why);
             unit.state = UnitState::Clearing;
+            unit.cleared_at = now;
             log::info!(job:% = id, unit = position, run = unit.run, why; "run ends");
         }
         let mut dropped = Vec::new();
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -13,7 +13,7 @@
 use super::place::{self, Demand};
 use super::preempt::hold_back;
 use super::sites::Sites;
-use super::{Dispatcher, Endpoint, Member, MemberState, Site, Start, UnitState};
+use super::{Dispatcher, Endpoint, Member, MemberState, Site, Start, Unit, UnitState};
 use crate::graph::Phase;
 use crate::port::Room;
 
@@ -36,7 +36,7 @@
                 capacity: endpoint.entry.capacity,
                 free: endpoint.free(),
                 clearing: if clearing {
-                    self.clearing(endpoint)
+                    self.clearing(endpoint, now)
                 } else {
                     Room::default()
                 },
@@ -49,14 +49,19 @@
     }
 
     /// Room of the runs on an endpoint that are being stopped.
-    pub(super) fn clearing(&self, endpoint: &Endpoint) -> Room {
+    pub(super) fn clearing(&self, endpoint: &Endpoint, now: u64) -> Room {
         let mut room = Room::default();
         for occupant in endpoint.runs.values() {
             let unit = self
                 .jobs
                 .get(&occupant.job)
                 .and_then(|job| job.units.get(occupant.unit));
-            if unit.is_some_and(|unit| unit.state == UnitState::Clearing) {
+            // A stop that takes longer has gone wrong; its room may not come free for some time.
+            let recent = |unit: &&Unit| now.saturating_sub(unit.cleared_at) < self.tuning.claim_ms;
+            if unit
+                .filter(recent)
+                .is_some_and(|unit| unit.state == UnitState::Clearing)
+            {
                 room = room.plus(&occupant.room);
             }
         }
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -67,10 +67,10 @@
             stall_ms: 2_500,
             resume_ms: 300,
             reclaim_ms: 2_700,
-            claim_lead_ms: 1_000,
+            claim_lead_ms: 1_100,
             claim_share: 1.0,
             claim_rise: 3.0,
-            claim_ms: 2_000,
+            claim_ms: 900,
             reservations: 2,
         }
     }
--- a/src/dispatch/unit.rs
+++ b/src/dispatch/unit.rs
@@ -42,6 +42,8 @@
     pub members: Vec<Member>,
     /// When the last run was placed, in milliseconds.
     pub placed_at: u64,
+    /// When its last run was given up, in milliseconds.
+    pub cleared_at: u64,
     /// Earliest time of the next start, in milliseconds.
     pub not_before: u64,
     /// Endpoints on which it failed.
@@ -62,6 +64,7 @@
             checkpoint: Arc::from(""),
             members: Vec::new(),
             placed_at: 0,
+            cleared_at: 0,
             not_before: 0,
             avoid: BTreeSet::new(),
         }
--- a/tests/dispatch/claim.rs
+++ b/tests/dispatch/claim.rs
@@ -47,6 +47,30 @@
     assert_eq!((of(&starts, "one"), of(&starts, "two")), (1, 1));
 }
 
+/// Guards against a guarantee that is met late because a claim waits for a victim that does not stop.
+#[test]
+fn a_claim_whose_victim_does_not_stop_takes_another() {
+    let mut world = World::new(4);
+    fill(&mut world, 4);
+    world.submit("one", "urgent", vec![gang(1, 8, 2_000)]);
+    world.round();
+    let first = world.stops[0].clone();
+
+    // The first victim never answers; all others stop at once.
+    for _ in 0..30 {
+        let from = world.stops.len();
+        world.pass(50);
+        for stop in world.stops[from..].to_vec() {
+            if stop.endpoint != first.endpoint {
+                world.dispatcher.stopped(&stop, Ok(world.now), world.now);
+                world.report(&stop.endpoint, &[], &[(1, &stop.task, stop.run, Outcome::Stopped)]);
+            }
+        }
+    }
+
+    assert_eq!(of(&world.starts, "one"), 1);
+}
+
 /// Guards against stopping more than a claim needs.
 #[test]
 fn a_claim_spares_what_it_does_not_need() {
