--- a/tests/dispatch/claim.rs
+++ b/tests/dispatch/claim.rs
@@ -60,9 +60,10 @@
     for _ in 0..30 {
         let from = world.stops.len();
         world.pass(50);
-        for stop in world.stops[from..].to_vec() {
+        let stops = world.stops.split_off(from);
+        for stop in &stops {
             if stop.endpoint != first.endpoint {
-                world.dispatcher.stopped(&stop, Ok(world.now), world.now);
+                world.dispatcher.stopped(stop, Ok(world.now), world.now);
                 world.report(&stop.endpoint, &[], &[(1, &stop.task, stop.run, Outcome::Stopped)]);
             }
         }
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -30,7 +30,7 @@
 }
 
 struct Run {
-    run: u32,
+    number: u32,
     worked: u64,
     since: u64,
     stops_at: Option<u64>,
@@ -109,7 +109,7 @@
         }
         fake.until = fake.until.max(until);
         if let Some(run) = fake.running.get(&start.task) {
-            return if run.run == start.run {
+            return if run.number == start.run {
                 Ok(now)
             } else {
                 refused(Refusal::Old)
@@ -127,7 +127,7 @@
                 .push(format!("{now}: {} has no room for {}", start.endpoint, start.task));
         }
         let run = Run {
-            run: start.run,
+            number: start.run,
             worked: 0,
             since: now,
             stops_at: None,
@@ -170,7 +170,7 @@
         fake.fence = fence;
         let last = fake.refused.entry(Arc::clone(&stop.task)).or_default();
         *last = (*last).max(stop.run);
-        if let Some(run) = fake.running.get_mut(&stop.task).filter(|run| run.run == stop.run) {
+        if let Some(run) = fake.running.get_mut(&stop.task).filter(|run| run.number == stop.run) {
             run.stops_at.get_or_insert(now + STOP_MS);
         }
         Ok(now)
@@ -194,7 +194,7 @@
         fake.ended.retain(|end| end.number > hold.seen);
         let running = fake.running.iter().map(|(task, run)| Running {
             task: Arc::clone(task),
-            run: run.run,
+            run: run.number,
             checkpoint: name(""),
             percent: (run.worked * 100 / self.kinds[&(parse(task).job, parse(task).step)].work_ms) as f64,
             load: 0.0,
@@ -211,13 +211,13 @@
     pub fn work(&mut self, span: u64, now: u64) {
         // Members that are present, by gang and run.
         let mut present: BTreeMap<(Arc<str>, u32, u32), u32> = BTreeMap::new();
-        let mut least: BTreeMap<(Arc<str>, u32, u32), u64> = BTreeMap::new();
+        let mut slowest: BTreeMap<(Arc<str>, u32, u32), u64> = BTreeMap::new();
         for fake in self.fakes.values().filter(|fake| fake.up) {
             for (task, run) in &fake.running {
                 let task = parse(task);
-                let key = (Arc::clone(&task.job), task.step, run.run);
+                let key = (Arc::clone(&task.job), task.step, run.number);
                 *present.entry(key.clone()).or_default() += 1;
-                let worked = least.entry(key).or_insert(u64::MAX);
+                let worked = slowest.entry(key).or_insert(u64::MAX);
                 *worked = (*worked).min(run.worked);
             }
         }
@@ -229,12 +229,12 @@
             for (text, run) in &mut fake.running {
                 let task = parse(text);
                 let kind = &self.kinds[&(Arc::clone(&task.job), task.step)];
-                let key = (Arc::clone(&task.job), task.step, run.run);
+                let key = (Arc::clone(&task.job), task.step, run.number);
                 let whole = kind.members == 1 || present[&key] == kind.members;
                 if whole {
                     run.worked = (run.worked + span).min(kind.work_ms);
                 }
-                let ready = kind.members == 1 || least[&key] >= kind.work_ms;
+                let ready = kind.members == 1 || slowest[&key] >= kind.work_ms;
                 let outcome = if fake.until <= now {
                     Outcome::Lapsed
                 } else if run.stops_at.is_some_and(|at| at <= now) {
@@ -259,7 +259,7 @@
                 continue;
             };
             let last = fake.refused.entry(Arc::clone(&text)).or_default();
-            *last = (*last).max(run.run);
+            *last = (*last).max(run.number);
             if outcome == Outcome::Done {
                 let index = if kind.members > 1 { 0 } else { task.index };
                 self.done.insert((Arc::clone(&task.job), task.step, index));
@@ -267,7 +267,7 @@
             fake.ended.push(End {
                 number: fake.next,
                 task: text,
-                run: run.run,
+                run: run.number,
                 outcome,
                 checkpoint: name(""),
             });
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -154,15 +154,15 @@
         fake.up && !fake.cut
     }
 
-    fn order(&mut self, effect: Effect) {
-        let endpoint = match &effect {
+    fn order(&mut self, effect: &Effect) {
+        let endpoint = match effect {
             Effect::Start(start) => Arc::clone(&start.endpoint),
             Effect::Stop(stop) => Arc::clone(&stop.endpoint),
         };
-        let until = match &effect {
+        let until = match effect {
             Effect::Start(start) => {
                 let Some(until) = self.dispatcher.lease_start(start, self.now) else {
-                    return self.answer(&effect, Err(OrderError::NotSent("given up".to_owned())));
+                    return self.answer(effect, Err(OrderError::NotSent("given up".to_owned())));
                 };
                 until
             }
@@ -170,7 +170,7 @@
         };
         let wrong = self.random.random_bool(self.trouble);
         if !self.reaches(&endpoint) {
-            return self.answer(&effect, Err(OrderError::NotSent("cut".to_owned())));
+            return self.answer(effect, Err(OrderError::NotSent("cut".to_owned())));
         }
         if wrong && self.random.random_bool(0.6) {
             let delay = self.random.random_range(300..12_000);
@@ -181,10 +181,10 @@
                 until,
             };
             self.late.push(late);
-            return self.answer(&effect, Err(lost()));
+            return self.answer(effect, Err(lost()));
         }
-        let done = self.carry_out(&effect, self.fence, until);
-        self.answer(&effect, if wrong { Err(lost()) } else { done });
+        let done = self.carry_out(effect, self.fence, until);
+        self.answer(effect, if wrong { Err(lost()) } else { done });
     }
 
     fn carry_out(&mut self, effect: &Effect, fence: u64, until: u64) -> Result<u64, OrderError> {
@@ -244,11 +244,11 @@
             // Its answer was given up long ago.
             drop(self.carry_out(&late.effect, late.fence, late.until));
         }
-        if self.now % 200 == 0 {
+        if self.now.is_multiple_of(200) {
             self.hold_all();
         }
         for effect in self.dispatcher.step(self.now, self.now) {
-            self.order(effect);
+            self.order(&effect);
         }
         while let Some(snapshot) = self.dispatcher.snapshot() {
             if self.random.random_bool(self.trouble) {
--- /dev/null
+++ b/tests/net.rs
@@ -0,0 +1,121 @@
+//! Callers that misuse their connections, through real sockets.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+use yuccaridge::net::{Handler, Server, serve};
+use yuccaridge::port::HttpLimits;
+
+/// Longer than any bound below; a connection that is open after this time was not closed.
+const LONG: Duration = Duration::from_secs(30);
+
+struct Echo;
+
+impl Handler for Echo {
+    async fn answer(&self, request: Request<Bytes>) -> Response<Full<Bytes>> {
+        Response::new(Full::new(request.into_body()))
+    }
+
+    fn limits(&self) -> HttpLimits {
+        HttpLimits {
+            header_bytes: 8_192,
+            body_bytes: 1_000,
+            header_ms: 300,
+            idle_ms: 300,
+        }
+    }
+}
+
+fn run<F>(test: impl FnOnce(std::net::SocketAddr, Server) -> F)
+where
+    F: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let server = serve(listener, Rc::new(Echo), 64);
+        test(address, server).await;
+    });
+}
+
+/// Sends bytes and reads until the server closes the connection.
+async fn exchange(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(bytes).await.expect("room to write");
+    let mut answer = Vec::new();
+    let read = timeout(LONG, stream.read_to_end(&mut answer))
+        .await
+        .expect("the server closes");
+    // A reset is as good as an end.
+    drop(read);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against half-sent requests and idle connections that are kept for good.
+#[test]
+fn half_sent_and_idle_connections_are_closed() {
+    run(async |address, server| {
+        for bytes in [
+            &b""[..],
+            b"GET / HT",
+            b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nhalf",
+        ] {
+            exchange(address, bytes).await;
+        }
+        server.stop().await;
+    });
+}
+
+/// Guards against a process that takes any body, or dies of a bad one.
+#[test]
+fn bad_requests_are_refused_and_the_next_one_is_served() {
+    run(async |address, server| {
+        let long = format!(
+            "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 2000\r\n\r\n{}",
+            "x".repeat(2_000)
+        );
+        let huge = format!("GET / HTTP/1.1\r\nhost: h\r\nx: {}\r\n\r\n", "y".repeat(20_000));
+        let cases: [(&str, &str); 5] = [
+            (&long, "413"),
+            (&huge, "431"),
+            ("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: -5\r\n\r\n", "400"),
+            ("\u{0}\u{1}\u{2}\r\n\r\n", "400"),
+            ("GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n", "200"),
+        ];
+
+        for (request, status) in cases {
+            let answer = exchange(address, request.as_bytes()).await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{status}: {answer}");
+        }
+        server.stop().await;
+    });
+}
+
+/// Guards against a stop that cuts off a caller whose request is under way, or waits for idle ones.
+#[test]
+fn a_stop_answers_what_is_under_way() {
+    run(async |address, server| {
+        let mut idle = TcpStream::connect(address).await.expect("a connection");
+        idle.write_all(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            .await
+            .expect("room to write");
+        let mut answer = [0; 12];
+        idle.read_exact(&mut answer).await.expect("an answer");
+
+        timeout(LONG, server.stop()).await.expect("the stop ends");
+
+        assert_eq!(&answer, b"HTTP/1.1 200");
+    });
+}
