Refuse jobs of queues that need tickets; name two pauses, drop an unused setting

Cause: a start without a ticket is refused by its endpoint, which would then get no work for a second, again and again; such a job is known to be hopeless when it comes.

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -6,6 +6,12 @@
 use crate::graph::Phase;
 use crate::port::{OrderError, Refusal};
 
+/// Pause before a start is sent again whose attempt has ended without an answer, in milliseconds.
+const RESEND_SOON_MS: u64 = 50;
+
+/// How long an endpoint gets no work that refused a start for want of room, in milliseconds: about the time of a stop.
+const NO_ROOM_MS: u64 = 200;
+
 impl Dispatcher {
     /// Answer to a start.
     pub fn started(&mut self, start: &Start, answer: Result<u64, OrderError>, now: u64) {
@@ -44,7 +50,10 @@
                     self.stop_unit(&start.job, start.unit, "a start has no answer", now);
                     return;
                 }
-                self.member(start).state = MemberState::Sent { tries, next: now + 50 };
+                self.member(start).state = MemberState::Sent {
+                    tries,
+                    next: now + RESEND_SOON_MS,
+                };
             }
             Err(error) => {
                 if !matches!(state, MemberState::Sent { .. } | MemberState::Stopping { .. }) {
@@ -74,7 +83,7 @@
                 if unwell {
                     self.shun(&start.endpoint, tuning.unwell_ms, now);
                 } else {
-                    self.shun(&start.endpoint, 200, now);
+                    self.shun(&start.endpoint, NO_ROOM_MS, now);
                 }
                 if first
                     || matches!(
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -16,8 +16,9 @@
     pub(super) policy: Arc<Policy>,
     pub(super) jobs: BTreeMap<Arc<str>, Job>,
     pub(super) endpoints: BTreeMap<Arc<str>, Endpoint>,
-    /// Lives that were replaced or removed, with the time by which their runs have lapsed.
+    /// Jobs whose state has changed since it was last stored.
     pub(super) dirty: BTreeSet<Arc<str>>,
+    /// Starts that wait until their job is stored.
     pub(super) starts: Vec<Start>,
     pub(super) effects: Vec<Effect>,
     pub(super) claims: BTreeMap<(Arc<str>, usize), Claim>,
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -88,7 +88,8 @@
         for (rank, id) in order {
             let job = &self.jobs[&id];
             let Some(queue) = job.queue.clone() else { continue };
-            if self.policy.pools.get(&queue.pool).is_some_and(|pool| pool.standby) {
+            // Endpoints refuse starts without a ticket.
+            if queue.advised || self.policy.pools.get(&queue.pool).is_some_and(|pool| pool.standby) {
                 continue;
             }
             let sites = pools.remove(&queue.pool).unwrap_or_else(|| {
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -13,8 +13,6 @@
     pub reign_ms: u64,
     /// Longest wait of a hold, in milliseconds; bounds the age of progress figures.
     pub hold_wait_ms: u64,
-    /// Factor by which tasks are slower across racks or away from their data; from the site.
-    pub far_factor: f64,
     /// Time after which an unanswered order is sent again, in milliseconds.
     pub resend_ms: u64,
     /// Starts of one run that are tried on an endpoint that does not answer.
@@ -56,7 +54,6 @@
             clock_drift: 0.02,
             reign_ms: 8_000,
             hold_wait_ms: 1_000,
-            far_factor: 3.0,
             resend_ms: 700,
             start_tries: 3,
             strikes: 2,
