--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -18,7 +18,7 @@
     /// Ends up to this number may be forgotten.
     pub seen: u64,
     /// End of the lease on the clock of the endpoint; `None` if that clock is not known yet.
-    pub until_ms: Option<u64>,
+    pub lease_end: Option<u64>,
     /// How long the endpoint may wait for an end.
     pub wait: Duration,
 }
@@ -138,15 +138,15 @@
         } else {
             tuning.lease_ms
         };
-        let until_ms = if renews { self.until(now, span) } else { None };
-        self.renewing = until_ms.map_or(0, |_| bound(tuning, now, span));
+        let lease_end = if renews { self.until(now, span) } else { None };
+        self.renewing = lease_end.map_or(0, |_| bound(tuning, now, span));
         // Ends that are not stored yet would be listed again at once.
         let settled = self.stored == self.seen && self.reported;
         let wait = if idle || !settled { 0 } else { tuning.hold_wait_ms };
         Hold {
             address: Arc::clone(&self.entry.address),
             seen: self.stored,
-            until_ms,
+            lease_end,
             wait: Duration::from_millis(wait),
         }
     }
--- a/src/lead/tend.rs
+++ b/src/lead/tend.rs
@@ -48,13 +48,13 @@
     let until = progress.dispatcher.borrow_mut().lease_start(&start, now);
     let answer = match (target(progress, &start.endpoint), until) {
         _ if !progress.reigns() => Err(OrderError::NotSent("the lead is not confirmed".to_owned())),
-        (Some(target), Some(until_ms)) => {
+        (Some(target), Some(lease_end)) => {
             let order = StartOrder {
                 task: Arc::clone(&start.task),
                 run: start.run,
                 payload: Arc::clone(&start.payload),
                 checkpoint: Arc::clone(&start.checkpoint),
-                until_ms,
+                lease_end,
                 fence: progress.fence,
                 ticket: Arc::from(""),
             };
@@ -116,7 +116,7 @@
         let order = HoldOrder {
             fence: progress.fence,
             seen: hold.seen,
-            until_ms: hold.until_ms,
+            lease_end: hold.lease_end,
             wait: hold.wait,
         };
         let answer = orders.hold(&target, &order).await;
@@ -127,7 +127,7 @@
                 let mut dispatcher = progress.dispatcher.borrow_mut();
                 dispatcher.report(&endpoint, &report, hold.seen, sent_at, now);
                 // A first hold has no lease to give, since the clock of the endpoint was not known.
-                (hold.wait.is_zero() && hold.until_ms.is_some()).then_some(SETTLE_PAUSE)
+                (hold.wait.is_zero() && hold.lease_end.is_some()).then_some(SETTLE_PAUSE)
             }
             Err(error) => {
                 progress.dispatcher.borrow_mut().silent(&endpoint, &error);
--- a/src/port/orders.rs
+++ b/src/port/orders.rs
@@ -33,7 +33,7 @@
     /// Ends up to this number may be forgotten.
     pub seen: u64,
     /// End of the lease on the clock of the endpoint, in milliseconds; `None` leaves it as it is.
-    pub until_ms: Option<u64>,
+    pub lease_end: Option<u64>,
     /// How long the endpoint may wait for an end before it answers.
     pub wait: Duration,
 }
--- a/src/port/start_order.rs
+++ b/src/port/start_order.rs
@@ -14,7 +14,7 @@
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: Arc<str>,
     /// End of the lease on the clock of the endpoint, in milliseconds.
-    pub until_ms: u64,
+    pub lease_end: u64,
     /// Fencing token of the leader.
     pub fence: u64,
     /// Permission of the advice service; empty where none is needed.
--- a/tests/dispatch/fleet.rs
+++ b/tests/dispatch/fleet.rs
@@ -185,7 +185,7 @@
             });
         }
         fake.fence = fence;
-        fake.until = fake.until.max(hold.until_ms.unwrap_or(0));
+        fake.until = fake.until.max(hold.lease_end.unwrap_or(0));
         for end in fake.ended.iter().filter(|end| end.number <= hold.seen) {
             if end.outcome == Outcome::Done && !fake.stale.contains(&end.number) {
                 self.noted.insert(Arc::clone(&end.task));
