--- a/src/intake/desk.rs
+++ b/src/intake/desk.rs
@@ -9,7 +9,7 @@
 
 use super::{Admission, Denial, View};
 use crate::graph::{JobGraph, Phase, Submission};
-use crate::lead::{CANCEL_SUFFIX, INTAKE, PENDING, PHASE, decode_phase, encode_phase};
+use crate::lead::{CANCEL_SUFFIX, INTAKE, PENDING, PHASE, decode_phase, intake_partition};
 use crate::net::wall_ms;
 use crate::port::{Commit, Range, Row, RowKey, Rows, StoreError};
 
@@ -92,11 +92,9 @@
             accepted_ms: wall_ms(),
         };
         let commit = Commit {
+            partition: intake_partition(id),
             expect: vec![(RowKey::new(INTAKE, id), 0)],
-            put: vec![
-                (RowKey::new(INTAKE, id), submission.encode_to_vec()),
-                (RowKey::new(PHASE, id), encode_phase(Phase::Queued, &admission.team)),
-            ],
+            put: vec![(RowKey::new(INTAKE, id), submission.encode_to_vec())],
             remove: Vec::new(),
         };
         // A conflict means that the job was accepted before: the id is the caller's, so it is the same job.
@@ -105,11 +103,20 @@
 
     /// Looks a job up.
     pub async fn phase(&self, admission: &Admission, id: &str, deadline: Instant) -> Result<Phase, Denial> {
-        let row = self.row(PHASE, id, deadline).await?.ok_or(Denial::NoJob)?;
-        let (phase, team) = row.value.as_deref().and_then(decode_phase).ok_or_else(|| {
-            log::error!(job = id; "stored phase of a job is unreadable");
+        let unreadable = || {
+            log::error!(job = id; "stored state of a job is unreadable");
             Denial::Unavailable
-        })?;
+        };
+        let (phase, team) = if let Some(row) = self.row(Range::one(PHASE, id), deadline).await? {
+            let (phase, team) = row.value.as_deref().and_then(decode_phase).ok_or_else(unreadable)?;
+            (phase, team.to_owned())
+        } else {
+            // The leader has not touched it yet.
+            let range = Range::one(INTAKE, id).within(intake_partition(id));
+            let row = self.row(range, deadline).await?.ok_or(Denial::NoJob)?;
+            let submission = row.value.as_deref().and_then(|value| Submission::decode(value).ok());
+            (Phase::Queued, submission.ok_or_else(unreadable)?.team)
+        };
         if !admission.team.is_empty() && !team.is_empty() && *admission.team != *team {
             return Err(Denial::OtherTeam);
         }
@@ -123,6 +130,7 @@
         }
         let key = RowKey::new(INTAKE, format!("{id}{CANCEL_SUFFIX}"));
         let commit = Commit {
+            partition: intake_partition(id),
             expect: vec![(key.clone(), 0)],
             put: vec![(key, b"x".to_vec())],
             remove: Vec::new(),
@@ -132,7 +140,7 @@
 
     /// Number of jobs of a queue that have not begun; at most about two seconds old.
     pub async fn pending(&self, admission: &Admission, deadline: Instant) -> Result<u64, Denial> {
-        let Some(row) = self.row(PENDING, "1", deadline).await? else {
+        let Some(row) = self.row(Range::one(PENDING, "1"), deadline).await? else {
             return Ok(0);
         };
         let text = String::from_utf8_lossy(row.value.as_deref().unwrap_or_default()).into_owned();
@@ -151,14 +159,13 @@
         Ok(0)
     }
 
-    async fn row(&self, table: &str, key: &str, deadline: Instant) -> Result<Option<Row>, Denial> {
-        let range = Range::one(table, key);
+    async fn row(&self, range: Range, deadline: Instant) -> Result<Option<Row>, Denial> {
         let give_up = (Instant::now() + DECLINED_FOR).min(deadline);
         loop {
             match timeout_at(deadline, self.rows.read(&range)).await {
-                Ok(Ok(page)) => return Ok(page.rows.into_iter().find(|row| *row.key == *key)),
+                Ok(Ok(page)) => return Ok(page.rows.into_iter().find(|row| row.key == range.from)),
                 Ok(Err(error)) => {
-                    log::debug!(table, key, error:% = error; "cannot read a row");
+                    log::debug!(table:% = range.table, key:% = range.from, error:% = error; "cannot read a row");
                 }
                 Err(_) => return Err(Denial::Unavailable),
             }
--- a/src/intake/follow.rs
+++ b/src/intake/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::sleep;
@@ -26,7 +27,7 @@
     loop {
         let read = match version {
             None => rows
-                .read_all(table)
+                .read_all(table, [Arc::from("")])
                 .await
                 .map(|page| (page.rows, page.version, page.clock_ms)),
             Some(after) => rows
--- a/src/intake/view.rs
+++ b/src/intake/view.rs
@@ -23,14 +23,14 @@
 }
 
 impl View {
-    /// A view without a configuration; one older than `limit_ms` is stale.
-    pub fn new(limit_ms: u64) -> Self {
+    /// A view without a configuration; one older than `limit_ms` by `clock` is stale.
+    pub fn new(limit_ms: u64, clock: SteadyClock) -> Self {
         Self {
             policy: RefCell::default(),
             confirmed: Cell::default(),
             offset: Cell::default(),
             limit_ms,
-            clock: SteadyClock,
+            clock,
             changed: Notify::new(),
         }
     }
--- a/src/lead/beat.rs
+++ b/src/lead/beat.rs
@@ -17,4 +17,13 @@
     /// It has given the lead up.
     #[prost(bool, tag = "4")]
     pub released: bool,
+    /// Its processor share, in thousandths of a core.
+    #[prost(uint32, tag = "5")]
+    pub millicores: u32,
+    /// Instance that is to take the lead next; empty for any.
+    #[prost(string, tag = "6")]
+    pub successor: String,
+    /// It is short of processor.
+    #[prost(bool, tag = "7")]
+    pub strained: bool,
 }
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -7,9 +7,10 @@
 use prost::Message;
 use tokio::time::sleep;
 
-use super::leader::{ONLY, Seat, read_ledger, reign};
+use super::leader::{OFFER, ONLY, Seat, read_ledger, reign};
 use super::tables::{LEAD, LEDGER};
-use super::{Beat, LedgerEntry};
+use super::watch::{Heard, Verdict, Watch};
+use super::{Beat, LedgerEntry, Offer};
 use crate::dispatch::Tuning;
 use crate::intake::{Stop, View};
 use crate::metric::InstanceMetrics;
@@ -25,6 +26,8 @@
     pub lapse_ms: u64,
     /// How long this instance waits before it takes a free lead, in milliseconds; larger instances wait less.
     pub defer_ms: u64,
+    /// Processor share of this instance, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// An instance that may lead.
@@ -91,10 +94,6 @@
 /// Pause after a failed call to the store.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// Longest time between two answers of the store after which the age of a renewal is counted anew, in milliseconds. While
-/// the store is away no leader can renew.
-const GAP_MS: u64 = 1_500;
-
 /// Follows the leader, and leads when there is none, until the instance stops.
 pub async fn run<R, O, E>(candidate: Candidate<R, O, E>)
 where
@@ -126,66 +125,121 @@
 where
     R: Rows,
 {
+    let wait_ms = candidate.timing.beat_ms;
+    let mut watch = Watch::new(
+        Arc::clone(&candidate.name),
+        candidate.timing.clone(),
+        candidate.clock.now(),
+    );
     let mut version = None;
-    // The renewal last seen and the clock of the store since when it is known.
-    let mut seen: Option<(Option<Beat>, u64)> = None;
-    let mut answered = candidate.clock.now();
     while !candidate.stop.is_stopping() {
-        let wait = Duration::from_millis(candidate.timing.beat_ms);
+        let sent = candidate.clock.now();
         let read = match version {
             None => candidate
                 .rows
-                .read(&Range::one(LEAD, ONLY))
+                .read(&Range::all(LEAD))
                 .await
-                .map(|page| (page.rows, page.version, page.clock_ms, true)),
+                .map(|page| (page.rows, page.version, page.clock_ms)),
             Some(after) => candidate
                 .rows
-                .changes(LEAD, after, wait)
+                .changes(LEAD, after, Duration::from_millis(wait_ms))
                 .await
-                .map(|changes| (changes.rows, changes.version, changes.clock_ms, false)),
+                .map(|changes| (changes.rows, changes.version, changes.clock_ms)),
         };
-        let now = candidate.clock.now();
-        let gap = now.saturating_sub(answered) > GAP_MS + candidate.timing.beat_ms;
-        match read {
-            Ok((rows, at, clock_ms, whole)) => {
-                answered = now;
-                version = Some(at);
-                if let Some(row) = rows.last() {
-                    let beat = row.value.as_deref().and_then(|value| Beat::decode(value).ok());
-                    if seen.as_ref().is_none_or(|(known, _)| *known != beat) || gap {
-                        seen = Some((beat, clock_ms));
-                    }
-                } else if whole && seen.is_none() || gap {
-                    let known = seen.take().and_then(|(beat, _)| beat);
-                    seen = Some((known, clock_ms));
-                }
-                let Some((beat, since)) = &seen else { continue };
-                let age = clock_ms.saturating_sub(*since);
-                let vacant = match beat {
-                    // A former life of this process held it, and that is over.
-                    Some(beat) if *beat.holder == *candidate.name => true,
-                    Some(beat) if !beat.released => age >= candidate.timing.lapse_ms + candidate.timing.defer_ms,
-                    _ => age >= candidate.timing.defer_ms,
-                };
-                if vacant {
-                    log::info!(age_ms = age, holder:? = beat.as_ref().map(|beat| &beat.holder); "the lead is free");
-                    return Some(beat.as_ref().map_or(0, |beat| beat.fence));
-                }
-                if beat.as_ref().is_none_or(|beat| beat.released) {
-                    sleep(Duration::from_millis(candidate.timing.defer_ms.saturating_sub(age))).await;
-                    version = None;
-                }
+        let (rows, at, clock_ms) = match read {
+            Ok(read) => read,
+            Err(StoreError::HistoryGone) => {
+                version = None;
+                continue;
             }
-            Err(StoreError::HistoryGone) => version = None,
             Err(error) => {
                 log::warn!(error:% = error; "cannot follow the leader");
                 sleep(RETRY).await;
+                continue;
+            }
+        };
+        watch.hear(&Heard {
+            rows: &rows,
+            whole: version.is_none(),
+            clock_ms,
+            sent,
+            now: candidate.clock.now(),
+            wait_ms,
+        });
+        version = Some(at);
+        match watch.verdict(clock_ms) {
+            Verdict::Follow => {}
+            Verdict::Take(fence) => {
+                log::info!(fence, holder:? = watch.holder(); "the lead is free");
+                return Some(fence);
             }
+            Verdict::LookAgain(pause_ms) => {
+                sleep(Duration::from_millis(pause_ms)).await;
+                version = None;
+            }
+            Verdict::Resign => {
+                resign(candidate).await;
+                version = None;
+            }
+            Verdict::Offer { fence, version } => offer(candidate, fence, version).await,
         }
     }
     None
 }
 
+/// Announces that a former life of this process no longer leads, so that the largest instance takes the lead at once.
+async fn resign<R, O, E>(candidate: &Candidate<R, O, E>)
+where
+    R: Rows,
+{
+    let failed = match read_ledger(&candidate.rows).await {
+        Ok(Some((entry, version))) if *entry.holder == *candidate.name => {
+            let beat = Beat {
+                holder: entry.holder,
+                fence: entry.fence,
+                released: true,
+                ..Beat::default()
+            };
+            let commit = Commit {
+                expect: vec![(RowKey::new(LEDGER, ONLY), version)],
+                put: vec![(RowKey::new(LEAD, ONLY), beat.encode_to_vec())],
+                ..Commit::default()
+            };
+            candidate.rows.commit(&commit).await.err()
+        }
+        // Another instance has taken the lead meanwhile.
+        Ok(_) => None,
+        Err(error) => Some(error),
+    };
+    if let Some(error) = failed {
+        log::warn!(error:% = error; "cannot announce the end of a former life");
+        sleep(RETRY).await;
+    }
+}
+
+/// Offers to lead instead of the leader with a fencing token.
+async fn offer<R, O, E>(candidate: &Candidate<R, O, E>, fence: u64, version: u64)
+where
+    R: Rows,
+{
+    let offer = Offer {
+        name: candidate.name.to_string(),
+        fence,
+        millicores: candidate.timing.millicores,
+    };
+    let commit = Commit {
+        expect: vec![(RowKey::new(LEAD, OFFER), version)],
+        put: vec![(RowKey::new(LEAD, OFFER), offer.encode_to_vec())],
+        ..Commit::default()
+    };
+    match candidate.rows.commit(&commit).await {
+        Ok(_) => log::info!(fence; "offers to lead instead of a smaller instance"),
+        // Another instance was faster.
+        Err(StoreError::Conflict(_)) => {}
+        Err(error) => log::warn!(fence, error:% = error; "cannot offer to lead"),
+    }
+}
+
 /// Tries to take the lead; `None` if another instance was faster.
 async fn take<R, O, E>(candidate: &Candidate<R, O, E>, last: u64) -> Result<Option<Seat>, StoreError>
 where
@@ -201,8 +255,8 @@
     let beat = Beat {
         holder: candidate.name.to_string(),
         fence,
-        count: 0,
-        released: false,
+        millicores: candidate.timing.millicores,
+        ..Beat::default()
     };
     let commit = Commit {
         expect: vec![(RowKey::new(LEDGER, ONLY), version)],
@@ -210,7 +264,7 @@
             (RowKey::new(LEDGER, ONLY), candidate.ledger(fence).encode_to_vec()),
             (RowKey::new(LEAD, ONLY), beat.encode_to_vec()),
         ],
-        remove: Vec::new(),
+        ..Commit::default()
     };
     match candidate.rows.commit(&commit).await {
         Ok(version) => Ok(Some(Seat { fence, version })),
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -10,16 +10,22 @@
 use tokio::time::{sleep, timeout};
 
 use super::progress::Progress;
-use super::tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase};
-use super::{Beat, Candidate, LedgerEntry, tend};
+use super::strain::LOOK_MS;
+use super::tables::{
+    CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase, intake_partitions,
+};
+use super::{Beat, Candidate, LedgerEntry, Offer, tend};
 use crate::dispatch::{Dispatcher, Learned, Snapshot};
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::net::wall_ms;
 use crate::port::{Commit, Entries, Orders, Page, Range, Row, RowKey, Rows, StoreError};
 
-/// Key of the only row of a table that has one.
+/// Key of the only row of a table that has one; in [`LEAD`] that of the leader's sign of life.
 pub(super) const ONLY: &str = "1";
 
+/// Key of the row of [`LEAD`] in which an instance offers to lead.
+pub(super) const OFFER: &str = "offer";
+
 /// Pause after the store declined a call.
 const DECLINED_PAUSE: Duration = Duration::from_millis(150);
 
@@ -54,7 +60,7 @@
 {
     log::info!(fence = seat.fence; "takes the lead");
     let dispatcher = Dispatcher::new(candidate.tuning.clone(), candidate.clock.now());
-    let progress = Progress::new(dispatcher, seat.fence);
+    let progress = Progress::new(dispatcher, seat.fence, candidate.clock);
     let loaded = loop {
         if candidate.stop.is_stopping() {
             return;
@@ -72,6 +78,8 @@
         Rc::clone(&progress),
         loaded.endpoints,
     ));
+    tasks.spawn_local(follow_offers(candidate.clone(), Rc::clone(&progress)));
+    tasks.spawn_local(watch_strain(Rc::clone(&progress)));
     main_loop(candidate, &progress, seat, &mut tasks).await;
     candidate.metrics.fence.set(0);
     tasks.shutdown().await;
@@ -89,10 +97,13 @@
     R: Rows,
     E: Entries,
 {
-    let intake = candidate.rows.read_all(INTAKE).await?;
-    let phases = candidate.rows.read_all(PHASE).await?;
-    let records = candidate.rows.read_all(RECORD).await?;
-    let endpoints = candidate.rows.read_all(candidate.entries.endpoint_table()).await?;
+    let intake = candidate.rows.read_all(INTAKE, intake_partitions()).await?;
+    let phases = candidate.rows.read_all(PHASE, [Arc::from("")]).await?;
+    let records = candidate.rows.read_all(RECORD, [Arc::from("")]).await?;
+    let endpoints = candidate
+        .rows
+        .read_all(candidate.entries.endpoint_table(), [Arc::from("")])
+        .await?;
     let learned = candidate.rows.read(&Range::one(LEARNED, ONLY)).await?;
     let now = candidate.clock.now();
     let mut dispatcher = progress.dispatcher.borrow_mut();
@@ -196,7 +207,7 @@
                 version = changes.version;
                 take_intake(&progress, &changes.rows, candidate.clock.now());
             }
-            Err(StoreError::HistoryGone) => match candidate.rows.read_all(INTAKE).await {
+            Err(StoreError::HistoryGone) => match candidate.rows.read_all(INTAKE, intake_partitions()).await {
                 Ok(page) => {
                     version = page.version;
                     take_intake(&progress, &page.rows, candidate.clock.now());
@@ -234,7 +245,7 @@
                 version = changes.version;
                 changes.rows
             }
-            Err(StoreError::HistoryGone) => match candidate.rows.read_all(table).await {
+            Err(StoreError::HistoryGone) => match candidate.rows.read_all(table, [Arc::from("")]).await {
                 Ok(page) => {
                     version = page.version;
                     with_removed(&progress, page)
@@ -273,6 +284,60 @@
     rows
 }
 
+/// Waits for the offer of a larger instance to lead instead.
+async fn follow_offers<R, O, E>(candidate: Candidate<R, O, E>, progress: Rc<Progress>)
+where
+    R: Rows,
+{
+    let mut version = None;
+    loop {
+        let read = match version {
+            None => candidate
+                .rows
+                .read(&Range::one(LEAD, OFFER))
+                .await
+                .map(|page| (page.rows, page.version)),
+            Some(after) => candidate
+                .rows
+                .changes(LEAD, after, FEED_WAIT)
+                .await
+                .map(|changes| (changes.rows, changes.version)),
+        };
+        match read {
+            Ok((rows, at)) => {
+                version = Some(at);
+                for row in rows.iter().filter(|row| *row.key == *OFFER) {
+                    let Some(offer) = row.value.as_deref().and_then(|value| Offer::decode(value).ok()) else {
+                        log::warn!("the offer to lead is unreadable");
+                        continue;
+                    };
+                    if offer.fence != progress.fence {
+                        continue;
+                    }
+                    log::info!(successor:% = offer.name, millicores = offer.millicores; "a larger instance offers to lead");
+                    *progress.successor.borrow_mut() = Some(Arc::from(&*offer.name));
+                    progress.wake.notify_one();
+                    return;
+                }
+            }
+            Err(StoreError::HistoryGone) => version = None,
+            Err(error) => pause("offers to lead", &error).await,
+        }
+    }
+}
+
+/// Measures whether this process gets the processor in time.
+async fn watch_strain(progress: Rc<Progress>) {
+    loop {
+        let from = progress.clock.now();
+        sleep(Duration::from_millis(LOOK_MS)).await;
+        let late = progress.clock.now().saturating_sub(from + LOOK_MS);
+        let mut strain = progress.strain.get();
+        strain.look(late);
+        progress.strain.set(strain);
+    }
+}
+
 async fn pause(what: &str, error: &StoreError) {
     log::warn!(what, error:% = error; "cannot follow the store");
     sleep(DECLINED_PAUSE).await;
@@ -289,6 +354,7 @@
     E: Entries,
 {
     let mut beats = 0;
+    let mut write_due = 0;
     let mut beat_due = 0;
     let mut metrics_due = 0;
     let mut releasing = false;
@@ -297,7 +363,8 @@
     let mut learned_due = candidate.clock.now() + LEARNED_MS;
     let mut writing: JoinSet<(Snapshot, Result<u64, StoreError>)> = JoinSet::new();
     while !progress.deposed.get() {
-        let stopping = candidate.stop.is_stopping();
+        let successor = progress.successor.borrow().clone();
+        let stopping = candidate.stop.is_stopping() || successor.is_some();
         if stopping {
             progress.dispatcher.borrow_mut().pause();
         }
@@ -316,7 +383,7 @@
             metrics_due = now + METRICS_MS;
             measure(candidate, progress, now);
         }
-        if writing.is_empty() {
+        if writing.is_empty() && now >= write_due {
             let snapshot = progress.dispatcher.borrow_mut().snapshot();
             let mut commit = Commit::default();
             let release = stopping && snapshot.is_none();
@@ -328,6 +395,9 @@
                     fence: seat.fence,
                     count: beats,
                     released: release,
+                    millicores: candidate.timing.millicores,
+                    successor: successor.as_deref().unwrap_or_default().to_owned(),
+                    strained: progress.strain.get().is_strained(),
                 };
                 commit.put.push((RowKey::new(LEAD, ONLY), beat.encode_to_vec()));
             }
@@ -364,6 +434,7 @@
                     if !renewed {
                         beat_due = 0;
                         pending.clear();
+                        write_due = candidate.clock.now() + DECLINED_PAUSE.as_millis() as u64;
                     }
                     if renewed && releasing {
                         return;
@@ -453,7 +524,6 @@
             seat.version = version;
             progress.renewed.set(now);
             progress.dispatcher.borrow_mut().stored(snapshot, now);
-            return;
         }
         Err(StoreError::Conflict(_)) => {
             progress.dispatcher.borrow_mut().unstored(snapshot);
@@ -461,12 +531,8 @@
                 Ok(Some((entry, version))) if entry == candidate.ledger(seat.fence) => {
                     // A write without an answer has been carried out.
                     seat.version = version;
-                    return;
-                }
-                Ok(_) => {
-                    progress.depose("another instance has written the ledger");
-                    return;
                 }
+                Ok(_) => progress.depose("another instance has written the ledger"),
                 Err(error) => log::warn!(error:% = error; "cannot read the ledger"),
             }
         }
@@ -475,7 +541,6 @@
             progress.dispatcher.borrow_mut().unstored(snapshot);
         }
     }
-    sleep(DECLINED_PAUSE).await;
 }
 
 /// The ledger row and its version; `None` if there is none.
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -9,11 +9,19 @@
 mod election;
 mod leader;
 mod ledger;
+mod offer;
 mod progress;
+mod strain;
 mod tables;
 mod tend;
+mod watch;
 
 pub use beat::Beat;
 pub use election::{Candidate, Timing, run};
 pub use ledger::LedgerEntry;
-pub use tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase};
+pub use offer::Offer;
+pub use strain::Strain;
+pub use tables::{
+    CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase, intake_partition,
+};
+pub use watch::{Heard, Verdict, Watch};
--- a/src/lead/progress.rs
+++ b/src/lead/progress.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 
+use super::Strain;
 use crate::dispatch::Dispatcher;
 use crate::net::SteadyClock;
 
@@ -26,11 +27,14 @@
     pub known: RefCell<BTreeSet<Arc<str>>>,
     /// When the last renewal was stored, in milliseconds.
     pub renewed: Cell<u64>,
+    /// A larger instance that is to lead instead.
+    pub successor: RefCell<Option<Arc<str>>>,
+    /// Whether the process gets the processor in time.
+    pub strain: Cell<Strain>,
 }
 
 impl Progress {
-    pub fn new(dispatcher: Dispatcher, fence: u64) -> Rc<Self> {
-        let clock = SteadyClock;
+    pub fn new(dispatcher: Dispatcher, fence: u64, clock: SteadyClock) -> Rc<Self> {
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
             fence,
@@ -40,6 +44,8 @@
             held: RefCell::default(),
             known: RefCell::default(),
             renewed: Cell::new(clock.now()),
+            successor: RefCell::default(),
+            strain: Cell::default(),
         })
     }
 
--- a/src/port/change.rs
+++ b/src/port/change.rs
@@ -9,6 +9,8 @@
 pub struct Range {
     /// Table.
     pub table: Arc<str>,
+    /// Partition of the table.
+    pub partition: Arc<str>,
     /// First key.
     pub from: Arc<str>,
     /// First key that is left out; empty for the end of the table.
@@ -16,23 +18,31 @@
 }
 
 impl Range {
-    /// All rows of a table.
+    /// All rows of a table in its unnamed partition.
     pub fn all(table: &str) -> Self {
         Self {
             table: Arc::from(table),
+            partition: Arc::from(""),
             from: Arc::from(""),
             to: Arc::from(""),
         }
     }
 
-    /// One row.
+    /// One row of the unnamed partition.
     pub fn one(table: &str, key: &str) -> Self {
         Self {
             table: Arc::from(table),
+            partition: Arc::from(""),
             from: Arc::from(key),
             to: Arc::from(format!("{key}\u{1}")),
         }
     }
+
+    /// The same rows in another partition.
+    #[must_use]
+    pub fn within(self, partition: Arc<str>) -> Self {
+        Self { partition, ..self }
+    }
 }
 
 /// Rows as of one moment.
--- /dev/null
+++ b/tests/lead/election.rs
@@ -0,0 +1,88 @@
+//! Who leads when the store is slow, when leaders die, and when all start at once.
+
+use yuccaridge::intake::Denial;
+
+use crate::world::{Instance, leader, leave_lead, pass, play, store};
+
+/// Guards against a lead that changes hands because the leader's renewals queue behind the jobs of callers: a store that is
+/// 67 times as slow carries out five transactions a second in a partition, and 13 jobs a second arrive.
+#[test]
+fn a_slow_store_costs_neither_the_lead_nor_jobs() {
+    play(async {
+        let store = store();
+        let instances: Vec<Instance> = (0..7)
+            .map(|at| Instance::start(&store, &format!("i{at}"), 500 - 50 * at))
+            .collect();
+        pass(3_000).await;
+        let before = leader(&store);
+
+        store.slow_down(67);
+        let mut answers = tokio::task::JoinSet::new();
+        let instances = std::rc::Rc::new(instances);
+        for number in 0..52_usize {
+            let instances = std::rc::Rc::clone(&instances);
+            answers.spawn_local(async move { instances[number % 7].submit(&format!("{number:016x}")).await });
+            pass(77).await;
+        }
+        let answers: Vec<Result<(), Denial>> = answers.join_all().await;
+
+        assert_eq!(leader(&store), before);
+        assert!(before.is_some());
+        assert_eq!(
+            answers.iter().filter(|answer| answer.is_err()).count(),
+            0,
+            "{answers:?}"
+        );
+        assert_eq!(store.declined(), 0);
+    });
+}
+
+/// Guards against a lead that stays free after its holder died.
+#[test]
+fn the_lead_of_a_lost_instance_is_taken() {
+    play(async {
+        let store = store();
+        let first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        let _second = Instance::start(&store, "second", 250);
+        pass(1_000).await;
+        assert_eq!(leader(&store), Some(("first".to_owned(), 1)));
+
+        first.kill();
+        pass(2_500).await;
+
+        assert_eq!(leader(&store), Some(("second".to_owned(), 2)));
+    });
+}
+
+/// Guards against a small instance that takes the lead again because it led before all were restarted.
+#[test]
+fn after_a_restart_of_all_the_largest_leads() {
+    play(async {
+        let store = store();
+        leave_lead(&store, "small", 4, 90);
+
+        let _small = Instance::start(&store, "small", 90);
+        let _large = Instance::start(&store, "large", 500);
+        pass(1_000).await;
+
+        assert_eq!(leader(&store), Some(("large".to_owned(), 5)));
+    });
+}
+
+/// Guards against a stop that leaves the lead to lapse.
+#[test]
+fn a_leader_that_stops_hands_over_at_once() {
+    play(async {
+        let store = store();
+        let first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        let _second = Instance::start(&store, "second", 250);
+        pass(1_000).await;
+
+        first.stop.stop();
+        pass(600).await;
+
+        assert_eq!(leader(&store), Some(("second".to_owned(), 2)));
+    });
+}
--- /dev/null
+++ b/tests/lead/world.rs
@@ -0,0 +1,214 @@
+//! Fixture: instances that share a store, in virtual time.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use prost::Message;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Duration, sleep};
+use yuccaridge::dispatch::Tuning;
+use yuccaridge::graph::{JobGraph, Step};
+use yuccaridge::intake::{Admission, Denial, Desk, Stop, View, follow};
+use yuccaridge::lead::{Beat, Candidate, LEAD, LEDGER, LedgerEntry, Timing, run};
+use yuccaridge::metric::InstanceMetrics;
+use yuccaridge::net::SteadyClock;
+use yuccaridge::port::{
+    EndpointEntry, Entries, HoldOrder, OrderError, Orders, Policy, Pool, Queue, Report, Row, StartOrder, StopOrder,
+    Target,
+};
+
+use crate::store::MemoryStore;
+
+/// No endpoint can be reached.
+#[derive(Clone)]
+pub struct NoOrders;
+
+fn unreachable_endpoint() -> OrderError {
+    OrderError::NotSent("no endpoints here".to_owned())
+}
+
+impl Orders for NoOrders {
+    async fn start(&self, _: &Target, _: &StartOrder) -> Result<u64, OrderError> {
+        Err(unreachable_endpoint())
+    }
+
+    async fn stop(&self, _: &Target, _: &StopOrder) -> Result<u64, OrderError> {
+        Err(unreachable_endpoint())
+    }
+
+    async fn hold(&self, _: &Target, _: &HoldOrder) -> Result<Report, OrderError> {
+        Err(unreachable_endpoint())
+    }
+}
+
+/// One queue, open to everyone, and no endpoints.
+#[derive(Clone)]
+pub struct OneQueue;
+
+impl Entries for OneQueue {
+    fn policy_table(&self) -> &'static str {
+        "policy"
+    }
+
+    fn endpoint_table(&self) -> &'static str {
+        "endpoints"
+    }
+
+    fn policy(&self, _: &Row) -> Result<Option<Policy>, String> {
+        let mut policy = Policy {
+            version: 1,
+            ..Policy::default()
+        };
+        let queue = queue();
+        let pool = Pool {
+            guards: true,
+            standby: false,
+        };
+        policy.pools.insert(Arc::clone(&queue.pool), pool);
+        policy.queues.insert(Arc::clone(&queue.name), queue);
+        Ok(Some(policy))
+    }
+
+    fn endpoint(&self, _: &Row) -> Result<Option<EndpointEntry>, String> {
+        Ok(None)
+    }
+}
+
+fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: Arc::from("batch"),
+        host: Arc::from("host"),
+        prefix: Arc::from("/"),
+        pool: Arc::from("pool"),
+        priority: 1,
+        attempts: 3,
+        stretch: 3.0,
+        slack_ms: 1_000,
+        open: true,
+        advised: false,
+    })
+}
+
+/// One instance.
+pub struct Instance {
+    pub stop: Rc<Stop>,
+    desk: Desk<MemoryStore>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Starts an instance with a processor share in thousandths of a core.
+    pub fn start(store: &MemoryStore, name: &str, millicores: u32) -> Self {
+        let clock = SteadyClock::of_runtime();
+        let view = Rc::new(View::new(2_000, clock));
+        let stop = Rc::new(Stop::default());
+        let candidate = Candidate {
+            name: Arc::from(name),
+            life: u64::from(millicores),
+            rows: store.clone(),
+            orders: NoOrders,
+            entries: OneQueue,
+            view: Rc::clone(&view),
+            stop: Rc::clone(&stop),
+            metrics: Rc::new(InstanceMetrics::default()),
+            tuning: Tuning::default(),
+            timing: Timing {
+                beat_ms: 500,
+                lapse_ms: 1_500,
+                defer_ms: u64::from(30_000 / millicores),
+                millicores,
+            },
+            clock,
+        };
+        let following = spawn_local(follow(store.clone(), OneQueue, Rc::clone(&view)));
+        Self {
+            desk: Desk::new(store.clone(), view),
+            tasks: vec![spawn_local(run(candidate)), following],
+            stop,
+        }
+    }
+
+    /// Ends it as a lost process ends.
+    pub fn kill(self) {
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+
+    /// Hands a job in that has three seconds.
+    pub async fn submit(&self, id: &str) -> Result<(), Denial> {
+        let admission = Admission {
+            queue: queue(),
+            team: Arc::from(""),
+            rest: Arc::from(id),
+        };
+        let step = Step {
+            count: 1,
+            accelerators: 1,
+            estimate_ms: 1_000,
+            ..Step::default()
+        };
+        let graph = JobGraph {
+            payload: "work".to_owned(),
+            steps: vec![step],
+            times: 0,
+            start_ms: 0,
+            interval_ms: 0,
+        };
+        let deadline = tokio::time::Instant::now() + Duration::from_secs(3);
+        self.desk.submit(&admission, id, graph, deadline).await
+    }
+}
+
+/// A store with a configuration.
+pub fn store() -> MemoryStore {
+    let store = MemoryStore::new();
+    store.put("policy", "1", Vec::new());
+    store
+}
+
+/// Present leader and its fencing token.
+pub fn leader(store: &MemoryStore) -> Option<(String, u64)> {
+    let value = store.value(LEDGER, "1")?;
+    let entry = LedgerEntry::decode(&*value).expect("a readable ledger");
+    Some((entry.holder, entry.fence))
+}
+
+/// A renewal, as a leader writes it.
+pub fn beat(holder: &str, fence: u64, millicores: u32) -> Beat {
+    Beat {
+        holder: holder.to_owned(),
+        fence,
+        count: 1,
+        millicores,
+        ..Beat::default()
+    }
+}
+
+/// Writes what a leader has left behind.
+pub fn leave_lead(store: &MemoryStore, holder: &str, fence: u64, millicores: u32) {
+    let entry = LedgerEntry {
+        fence,
+        holder: holder.to_owned(),
+        life: 1,
+    };
+    store.put(LEDGER, "1", entry.encode_to_vec());
+    store.put(LEAD, "1", beat(holder, fence, millicores).encode_to_vec());
+}
+
+pub async fn pass(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+/// Runs a test in virtual time.
+pub fn play<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
