--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -103,7 +103,7 @@
         self.changed = true;
     }
 
-    /// Takes in an accepted job, with what is stored of it.
+    /// Takes in an accepted job, with what is stored of it; a job without a record is stored whole.
     pub fn submit(
         &mut self,
         id: &Arc<str>,
@@ -117,6 +117,9 @@
             return;
         }
         let mut job = Job::new(Arc::clone(id), submission, record, phase, age_ms, now);
+        if !job.kept {
+            self.dirty.insert(Arc::clone(id));
+        }
         job.queue = self.policy.queues.get(&*job.submission.queue).cloned();
         // A former leader may have held the endpoints until the end of its own reign.
         let lapse_at = self.since + self.tuning.reign_ms + self.longest_lease();
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -1,5 +1,6 @@
 //! Jobs as the dispatcher sees them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{StepPace, Unit, UnitState, Works};
@@ -25,6 +26,11 @@
     pub phase: Phase,
     /// Measured speeds of each step.
     pub paces: Vec<StepPace>,
+    /// Its submission is stored beside the records.
+    pub kept: bool,
+    /// Since when units of an occurrence and step wait beside twice the room that they need, only not where it should be, in
+    /// milliseconds.
+    pub idle_since: BTreeMap<(u32, usize), u64>,
     /// When it was accepted, on the dispatcher's clock, in milliseconds.
     pub accepted: u64,
 }
@@ -65,6 +71,8 @@
             queue: None,
             units,
             phase,
+            kept: record.is_some(),
+            idle_since: BTreeMap::new(),
             accepted: now.saturating_sub(age_ms),
         }
     }
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -11,7 +11,7 @@
 use crate::port::Room;
 
 /// What a unit asks for.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Demand<'a> {
     /// Room of each task.
     pub need: Room,
@@ -58,6 +58,37 @@
         free.times(&self.need, most)
     }
 
+    /// The same tasks on any endpoint that has room, near or far, fast or slow, also where it would delay a promised start.
+    pub fn anywhere<'b>(&self, none: &'b BTreeSet<Arc<str>>) -> Demand<'b>
+    where
+        Self: 'b,
+    {
+        Demand {
+            adjacent: false,
+            near: false,
+            avoid: none,
+            least_speed: 0.0,
+            ends_at: 0,
+            ..self.clone()
+        }
+    }
+
+    /// Whether the open room of all sites would do for it twice.
+    pub fn fits_twice(&self, sites: &[Site]) -> bool {
+        let twice = Demand {
+            count: 2 * self.count,
+            ..self.clone()
+        };
+        let mut times = 0;
+        for site in sites {
+            times += twice.times(site, &site.open());
+            if times >= twice.count {
+                return true;
+            }
+        }
+        false
+    }
+
     fn times_now(&self, site: &Site) -> u32 {
         if site.promised > 0 && self.ends_at > site.promised {
             return 0;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -117,6 +117,8 @@
         // Equal tasks of a step that found no room need not be tried again.
         let mut failed: BTreeSet<(u32, usize)> = BTreeSet::new();
         let mut due: BTreeMap<(u32, usize), bool> = BTreeMap::new();
+        let none = BTreeSet::new();
+        let mut idle: BTreeSet<(u32, usize)> = BTreeSet::new();
         let units = self.jobs[id].units.len();
         for position in 0..units {
             let job = &self.jobs[id];
@@ -148,6 +150,17 @@
                 self.start(id, position, &mut sites, &chosen, now);
                 continue;
             }
+            if claim.is_none() && sites.is_idle() && demand.anywhere(&none).fits_twice(&sites) {
+                idle.insert(kind);
+                let since = job.idle_since.get(&kind).copied().unwrap_or(now);
+                if now - since >= self.tuning.idle_ms
+                    && let Some(chosen) = place::place(&sites, &demand.anywhere(&none))
+                {
+                    log::info!(job:% = id, unit = position, waited_ms = now - since; "placed where it is slower, beside idle endpoints");
+                    self.start(id, position, &mut sites, &chosen, now);
+                    continue;
+                }
+            }
             if unit.avoid.is_empty() {
                 failed.insert(kind);
             } else {
@@ -196,6 +209,12 @@
                 self.reserve(id, position, &mut sites, &rank, now);
             }
         }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.idle_since.retain(|kind, _| idle.contains(kind));
+            for kind in idle {
+                job.idle_since.entry(kind).or_insert(now);
+            }
+        }
         sites
     }
 
@@ -321,15 +340,17 @@
                 continue;
             };
             let unit = &job.units[occupant.unit];
-            let Some(member) = unit.members.get(occupant.member) else {
+            if unit.members.get(occupant.member).is_none() {
                 continue;
-            };
+            }
             let left = match unit.state {
                 UnitState::Active => {
                     let estimate = job.expected_ms(job.step(occupant.unit), &self.works) as u64;
                     let worked = now.saturating_sub(unit.placed_at);
-                    if member.percent > 5.0 {
-                        (worked as f64 * (100.0 - member.percent) / member.percent) as u64
+                    // The members of a gang end together.
+                    let percent = unit.members.iter().map(|member| member.percent).fold(100.0, f64::min);
+                    if percent > 5.0 {
+                        (worked as f64 * (100.0 - percent) / percent) as u64
                     } else {
                         estimate.saturating_sub(worked)
                     }
--- a/src/dispatch/sites.rs
+++ b/src/dispatch/sites.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::Site;
+use crate::port::Room;
 
 /// Share of the best speed below which an endpoint counts as slow; endpoints differ by factors from 2 to 4.
 const SLOW: f64 = 0.55;
@@ -15,6 +16,7 @@
     all: Vec<Site>,
     racks: Vec<Vec<usize>>,
     slow_below: f64,
+    idle: bool,
 }
 
 impl Sites {
@@ -24,7 +26,13 @@
         for (at, site) in all.iter().enumerate() {
             racks.entry(site.rack.clone()).or_default().push(at);
         }
+        let (mut free, mut whole) = (Room::default(), Room::default());
+        for site in &all {
+            free = free.plus(&site.free);
+            whole = whole.plus(&site.capacity);
+        }
         Self {
+            idle: 2 * free.accelerators > whole.accelerators || 2 * free.millicores > whole.millicores,
             racks: racks.into_values().collect(),
             slow_below: all.iter().map(|site| site.speed).fold(0.0, f64::max) * SLOW,
             all,
@@ -45,6 +53,11 @@
         }
     }
 
+    /// Whether more than half of the accelerators, or of the processors, are free.
+    pub fn is_idle(&self) -> bool {
+        self.idle
+    }
+
     /// Speed below which a site is slow.
     pub fn slow_below(&self) -> f64 {
         self.slow_below
--- a/src/dispatch/snapshot.rs
+++ b/src/dispatch/snapshot.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 
 use super::Start;
-use crate::graph::{JobRecord, Phase};
+use crate::graph::{JobRecord, Phase, Submission};
 
 /// State of one job to store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct JobWrite {
     /// Id of the job.
     pub id: Arc<str>,
+    /// What was accepted, if it is not stored beside the records yet.
+    pub submission: Option<Submission>,
     /// Its record.
     pub record: JobRecord,
     /// What callers are told.
--- a/src/dispatch/storing.rs
+++ b/src/dispatch/storing.rs
@@ -6,8 +6,8 @@
 use super::{Dispatcher, Effect, JobWrite, Learned, LearnedPace, LearnedWork, MemberState, Pace, Snapshot, Work};
 use crate::graph::Phase;
 
-/// Most jobs in one transaction; each takes two rows, and a transaction holds 100.
-const JOBS_A_COMMIT: usize = 45;
+/// Most jobs in one transaction; each takes up to three rows, and a transaction holds 100.
+const JOBS_A_COMMIT: usize = 30;
 
 impl Dispatcher {
     /// Changes since the last snapshot that have to be stored; `None` if there are none.
@@ -17,6 +17,7 @@
             let Some(id) = self.dirty.pop_first() else { break };
             let Some(job) = self.jobs.get(&id) else { continue };
             snapshot.jobs.push(JobWrite {
+                submission: (!job.kept).then(|| job.submission.clone()),
                 record: job.record(),
                 phase: job.phase,
                 team: job.submission.team.clone(),
@@ -77,7 +78,10 @@
             }
         }
         for write in snapshot.jobs {
-            let Some(job) = self.jobs.get(&write.id) else { continue };
+            let Some(job) = self.jobs.get_mut(&write.id) else {
+                continue;
+            };
+            job.kept |= write.submission.is_some();
             if write.phase.is_final() && job.is_clear() && !self.dirty.contains(&write.id) {
                 self.jobs.remove(&write.id);
             }
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -27,6 +27,9 @@
     pub unwell_ms: u64,
     /// Holds without an answer in a row after which leases are no longer renewed.
     pub silence_max: u32,
+    /// How long a unit waits for the right endpoints in a pool that is half idle, in milliseconds. The users' bound for work
+    /// that waits beside twice the room that it needs is 3 s.
+    pub idle_ms: u64,
     /// How long a run may show no progress before it is moved, in milliseconds.
     pub stall_ms: u64,
     /// Work that a run with checkpoints loses when it is stopped and resumed, in milliseconds.
@@ -61,6 +64,7 @@
             quarantine_max_ms: 24_000,
             unwell_ms: 1_000,
             silence_max: 6,
+            idle_ms: 1_500,
             stall_ms: 2_500,
             resume_ms: 300,
             reclaim_ms: 2_700,
--- a/src/intake/follow.rs
+++ b/src/intake/follow.rs
@@ -1,13 +1,12 @@
 //! Follows the configuration.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::sleep;
 
 use super::View;
-use crate::port::{Entries, Row, Rows, StoreError};
+use crate::port::{Entries, Range, Row, Rows, StoreError};
 
 /// Longest wait for a change in one call; with the time of a call it bounds the age of a confirmation.
 const WAIT: Duration = Duration::from_millis(700);
@@ -27,7 +26,7 @@
     loop {
         let read = match version {
             None => rows
-                .read_all(table, [Arc::from("")])
+                .read_all(Range::all(table))
                 .await
                 .map(|page| (page.rows, page.version, page.clock_ms)),
             Some(after) => rows
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use prost::Message;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -12,7 +13,8 @@
 use super::progress::Progress;
 use super::strain::LOOK_MS;
 use super::tables::{
-    CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase, intake_partitions,
+    CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase,
+    intake_partitions,
 };
 use super::{Beat, Candidate, LedgerEntry, Offer, tend};
 use crate::dispatch::{Dispatcher, Learned, Snapshot};
@@ -72,6 +74,7 @@
         sleep(DECLINED_PAUSE).await;
     };
     let mut tasks = JoinSet::new();
+    read_intake(candidate, &progress, &mut tasks).await;
     tasks.spawn_local(follow_intake(candidate.clone(), Rc::clone(&progress), loaded.intake));
     tasks.spawn_local(follow_endpoints(
         candidate.clone(),
@@ -97,14 +100,16 @@
     R: Rows,
     E: Entries,
 {
-    let intake = candidate.rows.read_all(INTAKE, intake_partitions()).await?;
-    let phases = candidate.rows.read_all(PHASE, [Arc::from("")]).await?;
-    let records = candidate.rows.read_all(RECORD, [Arc::from("")]).await?;
-    let endpoints = candidate
-        .rows
-        .read_all(candidate.entries.endpoint_table(), [Arc::from("")])
-        .await?;
-    let learned = candidate.rows.read(&Range::one(LEARNED, ONLY)).await?;
+    let rows = &candidate.rows;
+    let learned = Range::one(LEARNED, ONLY);
+    // Nobody else writes these rows any more, so that they need not be read one after another.
+    let (jobs, phases, records, endpoints, learned) = tokio::try_join!(
+        rows.read_all(Range::all(JOB)),
+        rows.read_all(Range::all(PHASE)),
+        rows.read_all(Range::all(RECORD)),
+        rows.read_all(Range::all(candidate.entries.endpoint_table())),
+        rows.read(&learned),
+    )?;
     let now = candidate.clock.now();
     let mut dispatcher = progress.dispatcher.borrow_mut();
     if let Some(value) = learned.rows.first().and_then(|row| row.value.as_deref()) {
@@ -121,10 +126,7 @@
     }
     let phases = values(&phases);
     let records = values(&records);
-    for row in &intake.rows {
-        if row.key.ends_with(CANCEL_SUFFIX) {
-            continue;
-        }
+    for row in &jobs.rows {
         progress.known.borrow_mut().insert(Arc::clone(&row.key));
         let phase = phases
             .get(&*row.key)
@@ -142,14 +144,12 @@
                     None
                 }
             });
-        submitted(&mut dispatcher, row, record.as_ref(), phase, now);
-    }
-    for row in &intake.rows {
-        cancelled(&mut dispatcher, row, now);
+        let record = record.unwrap_or_default();
+        submitted(&mut dispatcher, row, Some(&record), phase, now);
     }
     log::info!(jobs = dispatcher.jobs().len(), endpoints = dispatcher.endpoints().len(); "has read what is stored");
     Ok(Loaded {
-        intake: intake.version,
+        intake: jobs.version,
         endpoints: endpoints.version,
     })
 }
@@ -197,20 +197,68 @@
     dispatcher.endpoint(&row.key, entry, now);
 }
 
+/// Reads what was accepted. A store that is down in part may withhold some partitions; the jobs of the others, and those
+/// that a former leader has taken in, do not wait for them.
+async fn read_intake<R, O, E>(candidate: &Candidate<R, O, E>, progress: &Rc<Progress>, tasks: &mut JoinSet<()>)
+where
+    R: Rows,
+    O: Orders,
+    E: Entries,
+{
+    let reads = intake_partitions().map(async |partition| {
+        let range = Range::all(INTAKE).within(Arc::clone(&partition));
+        (partition, candidate.rows.read_all(range).await)
+    });
+    for (partition, read) in join_all(reads).await {
+        match read {
+            Ok(page) => take_intake(progress, &page.rows, candidate.clock.now()),
+            Err(error) => {
+                log::warn!(partition:%, error:% = error; "cannot read accepted jobs");
+                let (candidate, progress) = (candidate.clone(), Rc::clone(progress));
+                tasks.spawn_local(async move { read_partition(&candidate, &progress, &partition).await });
+            }
+        }
+    }
+}
+
+/// Reads the accepted jobs of a partition as soon as the store gives them.
+async fn read_partition<R, O, E>(candidate: &Candidate<R, O, E>, progress: &Progress, partition: &Arc<str>)
+where
+    R: Rows,
+{
+    loop {
+        sleep(DECLINED_PAUSE).await;
+        let range = Range::all(INTAKE).within(Arc::clone(partition));
+        if let Ok(page) = candidate.rows.read_all(range).await {
+            log::info!(partition:%; "accepted jobs can be read again");
+            take_intake(progress, &page.rows, candidate.clock.now());
+            return;
+        }
+    }
+}
+
 async fn follow_intake<R, O, E>(candidate: Candidate<R, O, E>, progress: Rc<Progress>, mut version: u64)
 where
     R: Rows,
+    O: Orders,
+    E: Entries,
 {
+    let mut reads = JoinSet::new();
     loop {
+        while reads.try_join_next().is_some() {}
         match candidate.rows.changes(INTAKE, version, FEED_WAIT).await {
             Ok(changes) => {
                 version = changes.version;
                 take_intake(&progress, &changes.rows, candidate.clock.now());
             }
-            Err(StoreError::HistoryGone) => match candidate.rows.read_all(INTAKE, intake_partitions()).await {
+            // What the feed no longer tells is in the rows; the version of the first read misses nothing of the others.
+            Err(StoreError::HistoryGone) => match candidate.rows.read(&Range::one(LEDGER, ONLY)).await {
                 Ok(page) => {
                     version = page.version;
-                    take_intake(&progress, &page.rows, candidate.clock.now());
+                    for partition in intake_partitions() {
+                        let (candidate, progress) = (candidate.clone(), Rc::clone(&progress));
+                        reads.spawn_local(async move { read_partition(&candidate, &progress, &partition).await });
+                    }
                 }
                 Err(error) => pause("intake", &error).await,
             },
@@ -245,7 +293,7 @@
                 version = changes.version;
                 changes.rows
             }
-            Err(StoreError::HistoryGone) => match candidate.rows.read_all(table, [Arc::from("")]).await {
+            Err(StoreError::HistoryGone) => match candidate.rows.read_all(Range::all(table)).await {
                 Ok(page) => {
                     version = page.version;
                     with_removed(&progress, page)
@@ -501,6 +549,10 @@
     commit.expect.push((RowKey::new(LEDGER, ONLY), seat.version));
     commit.put.push((RowKey::new(LEDGER, ONLY), entry.encode_to_vec()));
     for write in &snapshot.jobs {
+        if let Some(submission) = &write.submission {
+            let key = RowKey::new(JOB, Arc::clone(&write.id));
+            commit.put.push((key, submission.encode_to_vec()));
+        }
         let phase = encode_phase(write.phase, &write.team);
         commit.put.push((RowKey::new(PHASE, Arc::clone(&write.id)), phase));
         commit
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -22,6 +22,7 @@
 pub use offer::Offer;
 pub use strain::Strain;
 pub use tables::{
-    CANCEL_SUFFIX, INTAKE, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase, intake_partition,
+    CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase,
+    intake_partition,
 };
 pub use watch::{Heard, Verdict, Watch};
--- a/src/lead/tables.rs
+++ b/src/lead/tables.rs
@@ -12,6 +12,10 @@
 /// Ending of the key of a cancellation.
 pub const CANCEL_SUFFIX: &str = ".x";
 
+/// Jobs that a leader has taken in, by id; the leader's copy of their submission, so that the next one needs no other
+/// partition to go on with them.
+pub const JOB: &str = "job";
+
 /// What callers are told, by job id; written by the leader from the first change on.
 pub const PHASE: &str = "phase";
 
@@ -42,7 +46,7 @@
 }
 
 /// All partitions of [`INTAKE`].
-pub fn intake_partitions() -> impl Iterator<Item = Arc<str>> {
+pub(super) fn intake_partitions() -> impl Iterator<Item = Arc<str>> {
     (0..INTAKE_PARTITIONS).map(|at| Arc::from(at.to_string()))
 }
 
--- a/src/port/rows.rs
+++ b/src/port/rows.rs
@@ -1,10 +1,7 @@
 //! The store of rows.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
-
 use super::{Changes, Commit, Page, Range, StoreError};
 
 /// Store that keeps all that must last.
@@ -18,37 +15,8 @@
     /// Waits at most `wait` for changes of a table after a version.
     fn changes(&self, table: &str, after: u64, wait: Duration) -> impl Future<Output = Result<Changes, StoreError>>;
 
-    /// Reads all rows of a table in some partitions, page by page. The version is that of the first page, so that a feed
-    /// from it misses nothing.
-    fn read_all<I>(&self, table: &str, partitions: I) -> impl Future<Output = Result<Page, StoreError>>
-    where
-        I: IntoIterator<Item = Arc<str>>,
-    {
-        let table = Arc::<str>::from(table);
-        let reads: Vec<_> = partitions
-            .into_iter()
-            .map(|partition| self.read_partition(Range::all(&table).within(partition)))
-            .collect();
-        async move {
-            let mut all: Option<Page> = None;
-            // Together, so that a takeover waits for the store once and not once a partition.
-            for page in join_all(reads).await {
-                let page = page?;
-                match &mut all {
-                    None => all = Some(page),
-                    Some(all) => {
-                        all.version = all.version.min(page.version);
-                        all.clock_ms = all.clock_ms.min(page.clock_ms);
-                        all.rows.extend(page.rows);
-                    }
-                }
-            }
-            all.ok_or_else(|| StoreError::Unreadable("no partition to read".to_owned()))
-        }
-    }
-
-    /// Reads a whole range, page by page; the version is that of the first page.
-    fn read_partition(&self, mut range: Range) -> impl Future<Output = Result<Page, StoreError>> {
+    /// Reads a whole range, page by page. The version is that of the first page, so that a feed from it misses nothing.
+    fn read_all(&self, mut range: Range) -> impl Future<Output = Result<Page, StoreError>> {
         async move {
             let mut all = self.read(&range).await?;
             let mut more = all.more;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod doubt;
 mod fleet;
 mod gang;
+mod idle;
 mod soak;
 mod takeover;
 mod world;
--- a/tests/lead/election.rs
+++ b/tests/lead/election.rs
@@ -1,6 +1,7 @@
 //! Who leads when the store is slow, when leaders die, and when all start at once.
 
 use yuccaridge::intake::Denial;
+use yuccaridge::lead::{PENDING, intake_partition};
 
 use crate::world::{Instance, leader, leave_lead, pass, play, store};
 
@@ -86,3 +87,40 @@
         assert_eq!(leader(&store), Some(("second".to_owned(), 2)));
     });
 }
+
+/// Guards against a takeover that waits for every partition of a store that is down in part: the new leader goes on with the
+/// jobs that the former one had taken in, and with those that it can read.
+#[test]
+fn a_new_leader_does_not_wait_for_withheld_partitions() {
+    play(async {
+        let store = store();
+        let first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        let second = Instance::start(&store, "second", 250);
+        for number in 0..24 {
+            first
+                .submit(&format!("{number:016x}"))
+                .await
+                .expect("a store that answers");
+        }
+        pass(1_000).await;
+
+        store.withhold("3");
+        first.kill();
+        store.put(PENDING, "1", Vec::new());
+        pass(3_000).await;
+        let before = store.value(PENDING, "1");
+        let open = (24..99)
+            .map(|number| format!("{number:016x}"))
+            .find(|id| *intake_partition(id) != *"3");
+        second
+            .submit(&open.expect("a job of another partition"))
+            .await
+            .expect("a partition that answers");
+        pass(1_000).await;
+
+        assert!((0..24).any(|number| *intake_partition(&format!("{number:016x}")) == *"3"));
+        assert_eq!(before.as_deref(), Some(&b"batch\t24\n"[..]));
+        assert_eq!(store.value(PENDING, "1").as_deref(), Some(&b"batch\t25\n"[..]));
+    });
+}
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -1,7 +1,7 @@
 //! Fixture: a store in memory with partitions, a feed and a speed, in virtual time.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +26,8 @@
     /// How many times as slow as usual it is.
     slow: u64,
     declined: u64,
+    /// Partitions that it withholds.
+    withheld: BTreeSet<Arc<str>>,
 }
 
 /// A store in memory.
@@ -44,6 +46,7 @@
             busy: BTreeMap::new(),
             slow: 1,
             declined: 0,
+            withheld: BTreeSet::new(),
         };
         Self {
             state: Rc::new(RefCell::new(state)),
@@ -56,6 +59,11 @@
         self.state.borrow_mut().slow = times;
     }
 
+    /// Declines all calls about a partition from now on.
+    pub fn withhold(&self, partition: &str) {
+        self.state.borrow_mut().withheld.insert(Arc::from(partition));
+    }
+
     /// Transactions that were declined for want of time.
     pub fn declined(&self) -> u64 {
         self.state.borrow().declined
@@ -122,6 +130,9 @@
     async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
         let due = {
             let mut state = self.state.borrow_mut();
+            if state.withheld.contains(&commit.partition) {
+                return Err(StoreError::Declined(503));
+            }
             let now = Instant::now();
             let span = Duration::from_millis(TRANSACTION_MS * state.slow);
             let busy = state.busy.entry(Arc::clone(&commit.partition)).or_insert(now);
@@ -141,6 +152,9 @@
     async fn read(&self, range: &Range) -> Result<Page, StoreError> {
         self.answer().await;
         let state = self.state.borrow();
+        if state.withheld.contains(&range.partition) {
+            return Err(StoreError::Declined(503));
+        }
         let mut rows = Vec::new();
         for (key, (partition, row)) in &state.rows {
             let inside = key.key >= range.from && (range.to.is_empty() || key.key < range.to);
