--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -191,7 +191,9 @@
         let lapse_at = now + self.longest_lease();
         let Some(endpoint) = self.endpoints.get_mut(name) else {
             let pace = self.learned.remove(&(Arc::clone(name), entry.born));
+            let leaves_at = entry.remaining_ms.map(|remaining| now + remaining);
             let mut endpoint = Endpoint::new(entry, lapse_at);
+            endpoint.leaves_at = leaves_at;
             endpoint.pace = pace.unwrap_or_default();
             self.endpoints.insert(Arc::clone(name), endpoint);
             return;
@@ -200,6 +202,7 @@
             if entry.draining && !endpoint.entry.draining {
                 log::info!(endpoint:% = name, remaining_ms:? = entry.remaining_ms; "endpoint drains");
             }
+            endpoint.leaves_at = entry.remaining_ms.map(|remaining| now + remaining);
             endpoint.entry = entry;
             endpoint.listed = true;
             return;
@@ -303,6 +306,7 @@
             self.next_check = now + CHECK_MS;
             self.lapse(now);
             self.resend(now);
+            self.evacuate(now);
         }
         let due = if self.changed {
             self.last_round + ROUND_MIN_MS
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -69,6 +69,8 @@
     pub quarantine_ms: u64,
     /// Holds without an answer since the last answer.
     pub silence: u32,
+    /// When it leaves at the earliest, if it drains, in milliseconds.
+    pub leaves_at: Option<u64>,
     /// Learned speed.
     pub pace: Pace,
 }
@@ -92,6 +94,7 @@
             shunned_until: 0,
             quarantine_ms: 0,
             silence: 0,
+            leaves_at: None,
             pace: Pace::default(),
         }
     }
--- /dev/null
+++ b/src/dispatch/evacuate.rs
@@ -0,0 +1,49 @@
+//! Takes work off endpoints that are about to leave.
+//!
+//! Whatever runs on an endpoint when it leaves is lost. What can't end in time is stopped: at once if it starts again from
+//! nothing, and as late as its checkpoint can still be read if it resumes.
+
+use std::sync::Arc;
+
+use super::{Dispatcher, UnitState};
+
+/// How far the time that is left may be exceeded by the estimate for work without checkpoints. Estimates are off by a factor
+/// of about 1.5 once a queue is known, and endpoints stay for the time that they tell, at least.
+const DOUBT: f64 = 1.5;
+
+impl Dispatcher {
+    /// Stops what would be lost with the endpoints that leave.
+    pub(super) fn evacuate(&mut self, now: u64) {
+        let mut lost = Vec::new();
+        for (name, endpoint) in &self.endpoints {
+            let Some(leaves) = endpoint.leaves_at.filter(|_| endpoint.entry.draining) else {
+                continue;
+            };
+            let remaining = leaves.saturating_sub(now);
+            for occupant in endpoint.runs.values() {
+                let Some(job) = self.jobs.get(&occupant.job) else {
+                    continue;
+                };
+                if job.units[occupant.unit].state != UnitState::Active {
+                    continue;
+                }
+                let step = job.step(occupant.unit);
+                let left = self.left_ms(job, occupant.unit, now);
+                let stops = if step.lasting {
+                    true
+                } else if step.checkpoints {
+                    left > remaining && remaining <= self.tuning.claim_lead_ms
+                } else {
+                    left as f64 > DOUBT * remaining as f64
+                };
+                if stops {
+                    log::info!(job:% = occupant.job, unit = occupant.unit, endpoint:% = name, remaining, left; "evacuates");
+                    lost.push((Arc::clone(&occupant.job), occupant.unit));
+                }
+            }
+        }
+        for (job, unit) in lost {
+            self.stop_unit(&job, unit, "its endpoint leaves", now);
+        }
+    }
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod dispatcher;
 mod effect;
 mod endpoint;
+mod evacuate;
 mod job;
 mod learned;
 mod member;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -13,7 +13,7 @@
 use super::place::{self, Demand};
 use super::preempt::hold_back;
 use super::sites::Sites;
-use super::{Dispatcher, Endpoint, Member, MemberState, Site, Start, Unit, UnitState};
+use super::{Dispatcher, Endpoint, Job, Member, MemberState, Site, Start, Unit, UnitState};
 use crate::graph::Phase;
 use crate::port::Room;
 
@@ -343,22 +343,25 @@
             if unit.members.get(occupant.member).is_none() {
                 continue;
             }
-            let left = match unit.state {
-                UnitState::Active => {
-                    let estimate = job.expected_ms(job.step(occupant.unit), &self.works) as u64;
-                    let worked = now.saturating_sub(unit.placed_at);
-                    // The members of a gang end together.
-                    let percent = unit.members.iter().map(|member| member.percent).fold(100.0, f64::min);
-                    if percent > 5.0 {
-                        (worked as f64 * (100.0 - percent) / percent) as u64
-                    } else {
-                        estimate.saturating_sub(worked)
-                    }
-                }
-                _ => 0,
-            };
+            let left = self.left_ms(job, occupant.unit, now);
             ends.push((now + left, occupant.room));
         }
         ends
     }
+    /// How long a unit goes on, as far as can be told, in milliseconds.
+    pub(super) fn left_ms(&self, job: &Job, position: usize, now: u64) -> u64 {
+        let unit = &job.units[position];
+        if unit.state != UnitState::Active {
+            return 0;
+        }
+        let worked = now.saturating_sub(unit.placed_at);
+        // The members of a gang end together.
+        let percent = unit.members.iter().map(|member| member.percent).fold(100.0, f64::min);
+        if percent > 5.0 {
+            (worked as f64 * (100.0 - percent) / percent) as u64
+        } else {
+            let estimate = job.expected_ms(job.step(position), &self.works) as u64;
+            estimate.saturating_sub(worked)
+        }
+    }
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod claim;
 mod doubt;
+mod evacuate;
 mod fleet;
 mod gang;
 mod idle;
