--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -33,8 +33,9 @@
     fn limits(&self) -> HttpLimits;
 }
 
-/// A running server.
+/// A running server; it stops when this is dropped.
 #[derive(Debug)]
+#[must_use = "the server stops when this is dropped"]
 pub struct Server {
     stop: watch::Sender<bool>,
     done: tokio::task::JoinHandle<()>,
