--- a/src/intake/desk.rs
+++ b/src/intake/desk.rs
@@ -9,7 +9,7 @@
 
 use super::{Admission, Denial, View};
 use crate::graph::{JobGraph, Phase, Submission};
-use crate::lead::{CANCEL_SUFFIX, INTAKE, PENDING, PHASE, decode_phase, intake_partition};
+use crate::lead::{CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, decode_phase, intake_partition};
 use crate::net::wall_ms;
 use crate::port::{Commit, Range, Row, RowKey, Rows, StoreError};
 
@@ -27,6 +27,7 @@
 pub struct Desk<R> {
     rows: R,
     view: Rc<View>,
+    hints: Rc<Hints>,
 }
 
 impl<R> Desk<R>
@@ -34,8 +35,8 @@
     R: Rows,
 {
     /// A desk on a store.
-    pub fn new(rows: R, view: Rc<View>) -> Self {
-        Self { rows, view }
+    pub fn new(rows: R, view: Rc<View>, hints: Rc<Hints>) -> Self {
+        Self { rows, view, hints }
     }
 
     /// Configuration as this instance knows it.
@@ -98,7 +99,9 @@
             remove: Vec::new(),
         };
         // A conflict means that the job was accepted before: the id is the caller's, so it is the same job.
-        self.write(&commit, deadline).await
+        self.write(&commit, deadline).await?;
+        self.hints.tell(id);
+        Ok(())
     }
 
     /// Looks a job up.
@@ -128,14 +131,17 @@
         if self.phase(admission, id, deadline).await?.is_final() {
             return Ok(());
         }
-        let key = RowKey::new(INTAKE, format!("{id}{CANCEL_SUFFIX}"));
+        let name = format!("{id}{CANCEL_SUFFIX}");
+        let key = RowKey::new(INTAKE, &*name);
         let commit = Commit {
             partition: intake_partition(id),
             expect: vec![(key.clone(), 0)],
             put: vec![(key, b"x".to_vec())],
             remove: Vec::new(),
         };
-        self.write(&commit, deadline).await
+        self.write(&commit, deadline).await?;
+        self.hints.tell(&name);
+        Ok(())
     }
 
     /// Number of jobs of a queue that have not begun; at most about two seconds old.
--- a/src/intake/follow.rs
+++ b/src/intake/follow.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::View;
 use crate::port::{Entries, Range, Row, Rows, StoreError};
@@ -11,6 +11,10 @@
 /// Longest wait for a change in one call; with the time of a call it bounds the age of a confirmation.
 const WAIT: Duration = Duration::from_millis(700);
 
+/// Time beside the wait after which a feed counts as silent; on a store that is sixty times as slow as usual a call takes
+/// about 250 ms.
+const LATE: Duration = Duration::from_millis(350);
+
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_millis(120);
 
@@ -29,10 +33,14 @@
                 .read_all(Range::all(table))
                 .await
                 .map(|page| (page.rows, page.version, page.clock_ms)),
-            Some(after) => rows
-                .changes(table, after, WAIT)
-                .await
-                .map(|changes| (changes.rows, changes.version, changes.clock_ms)),
+            Some(after) => {
+                let Ok(changed) = timeout(WAIT + LATE, rows.changes(table, after, WAIT)).await else {
+                    // A feed may be silent while rows can be read.
+                    version = None;
+                    continue;
+                };
+                changed.map(|changes| (changes.rows, changes.version, changes.clock_ms))
+            }
         };
         match read {
             Ok((changed, at, clock_ms)) => {
--- a/src/lead/beat.rs
+++ b/src/lead/beat.rs
@@ -23,6 +23,9 @@
     /// Instance that is to take the lead next; empty for any.
     #[prost(string, tag = "6")]
     pub successor: String,
+    /// Where it receives hints, `host:port`.
+    #[prost(string, tag = "8")]
+    pub hints: String,
     /// It is short of processor.
     #[prost(bool, tag = "7")]
     pub strained: bool,
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -10,7 +10,7 @@
 use super::leader::{OFFER, ONLY, Seat, read_ledger, reign};
 use super::tables::{LEAD, LEDGER};
 use super::watch::{Heard, Verdict, Watch};
-use super::{Beat, LedgerEntry, Offer};
+use super::{Beat, Hints, LedgerEntry, Offer};
 use crate::dispatch::Tuning;
 use crate::intake::{Stop, View};
 use crate::metric::InstanceMetrics;
@@ -53,6 +53,8 @@
     pub tuning: Tuning,
     /// Times of the election.
     pub timing: Timing,
+    /// Hints about rows of callers.
+    pub hints: Rc<Hints>,
     /// Steady clock.
     pub clock: SteadyClock,
 }
@@ -75,6 +77,7 @@
             metrics: Rc::clone(&self.metrics),
             tuning: self.tuning.clone(),
             timing: self.timing.clone(),
+            hints: Rc::clone(&self.hints),
             clock: self.clock,
         }
     }
@@ -167,6 +170,7 @@
             wait_ms,
         });
         version = Some(at);
+        candidate.hints.set_leader(watch.hints());
         match watch.verdict(clock_ms) {
             Verdict::Follow => {}
             Verdict::Take(fence) => {
@@ -256,6 +260,7 @@
         holder: candidate.name.to_string(),
         fence,
         millicores: candidate.timing.millicores,
+        hints: candidate.hints.address().to_string(),
         ..Beat::default()
     };
     let commit = Commit {
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -14,7 +14,7 @@
 use super::strain::LOOK_MS;
 use super::tables::{
     CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase,
-    intake_partitions,
+    intake_partition, intake_partitions,
 };
 use super::{Beat, Candidate, LedgerEntry, Offer, tend};
 use crate::dispatch::{Dispatcher, Learned, Snapshot};
@@ -35,6 +35,12 @@
 /// that is noticed.
 const FEED_WAIT: Duration = Duration::from_secs(1);
 
+/// Time in which the feed usually tells of a row, so that a hint needs no reading.
+const HINT_PAUSE: Duration = Duration::from_millis(60);
+
+/// Rows that are read at the same time because of hints.
+const HINT_READS_MAX: usize = 32;
+
 /// Least time between two writes of the number of waiting jobs, in milliseconds.
 const PENDING_MS: u64 = 500;
 
@@ -82,6 +88,8 @@
         loaded.endpoints,
     ));
     tasks.spawn_local(follow_offers(candidate.clone(), Rc::clone(&progress)));
+    candidate.hints.set_leader(candidate.hints.address());
+    tasks.spawn_local(follow_hints(candidate.clone(), Rc::clone(&progress)));
     tasks.spawn_local(watch_strain(Rc::clone(&progress)));
     main_loop(candidate, &progress, seat, &mut tasks).await;
     candidate.metrics.fence.set(0);
@@ -374,6 +382,45 @@
     }
 }
 
+/// Reads the rows of callers that the feed is late to tell of.
+async fn follow_hints<R, O, E>(candidate: Candidate<R, O, E>, progress: Rc<Progress>)
+where
+    R: Rows,
+    O: Orders,
+    E: Entries,
+{
+    let mut reads = JoinSet::new();
+    while let Some(key) = candidate.hints.next().await {
+        while reads.try_join_next().is_some() {}
+        if reads.len() < HINT_READS_MAX {
+            let (candidate, progress) = (candidate.clone(), Rc::clone(&progress));
+            reads.spawn_local(async move { read_hinted(&candidate, &progress, &key).await });
+        }
+    }
+}
+
+async fn read_hinted<R, O, E>(candidate: &Candidate<R, O, E>, progress: &Progress, key: &str)
+where
+    R: Rows,
+{
+    sleep(HINT_PAUSE).await;
+    let id = key.strip_suffix(CANCEL_SUFFIX).unwrap_or(key);
+    let told = if id == key {
+        progress.known.borrow().contains(id)
+    } else {
+        // The job has ended, or is not known and comes with its cancellation.
+        !progress.dispatcher.borrow().jobs().contains_key(id)
+    };
+    if told {
+        return;
+    }
+    let range = Range::one(INTAKE, key).within(intake_partition(id));
+    match candidate.rows.read(&range).await {
+        Ok(page) => take_intake(progress, &page.rows, candidate.clock.now()),
+        Err(error) => log::debug!(key, error:% = error; "cannot read a row that was hinted at"),
+    }
+}
+
 /// Measures whether this process gets the processor in time.
 async fn watch_strain(progress: Rc<Progress>) {
     loop {
@@ -445,6 +492,7 @@
                     released: release,
                     millicores: candidate.timing.millicores,
                     successor: successor.as_deref().unwrap_or_default().to_owned(),
+                    hints: candidate.hints.address().to_string(),
                     strained: progress.strain.get().is_strained(),
                 };
                 commit.put.push((RowKey::new(LEAD, ONLY), beat.encode_to_vec()));
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -7,6 +7,7 @@
 
 mod beat;
 mod election;
+mod hint;
 mod leader;
 mod ledger;
 mod offer;
@@ -18,6 +19,7 @@
 
 pub use beat::Beat;
 pub use election::{Candidate, Timing, run};
+pub use hint::{Hint, HintQueues, Hints, carry};
 pub use ledger::LedgerEntry;
 pub use offer::Offer;
 pub use strain::Strain;
--- a/src/lead/watch.rs
+++ b/src/lead/watch.rs
@@ -113,6 +113,11 @@
         self.beat.as_ref().map(|beat| &*beat.holder)
     }
 
+    /// Where the leader receives hints; empty if there is none.
+    pub fn hints(&self) -> &str {
+        self.beat.as_ref().map_or("", |beat| &beat.hints)
+    }
+
     /// Takes an answer in.
     pub fn hear(&mut self, heard: &Heard<'_>) {
         let gap = heard.now.saturating_sub(self.answered) > GAP_MS + self.timing.beat_ms;
--- a/tests/lead/election.rs
+++ b/tests/lead/election.rs
@@ -124,3 +124,36 @@
         assert_eq!(store.value(PENDING, "1").as_deref(), Some(&b"batch\t25\n"[..]));
     });
 }
+
+/// Guards against jobs that wait for a silent feed, as when the store drops its history.
+#[test]
+fn jobs_reach_the_leader_while_the_feeds_are_silent() {
+    play(async {
+        let store = store();
+        let _first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        let second = Instance::start(&store, "second", 250);
+        pass(1_000).await;
+
+        store.mute(1_500);
+        second.submit("000000000000000a").await.expect("a store that answers");
+        pass(900).await;
+
+        assert_eq!(store.value(PENDING, "1").as_deref(), Some(&b"batch\t1\n"[..]));
+    });
+}
+
+/// Guards against an instance that refuses callers because a silent feed does not confirm its configuration.
+#[test]
+fn the_configuration_stays_fresh_while_the_feeds_are_silent() {
+    play(async {
+        let store = store();
+        let only = Instance::start(&store, "only", 500);
+        pass(1_000).await;
+
+        store.mute(4_000);
+        pass(3_000).await;
+
+        assert!(only.is_fresh());
+    });
+}
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use yuccaridge::lead::HintQueues;
 use yuccaridge::port::{Changes, Commit, Page, Range, Row, RowKey, Rows, StoreError};
 
 /// Time of an answer and of a transaction on a calm day, in milliseconds; the users' sheets.
@@ -26,6 +28,10 @@
     /// How many times as slow as usual it is.
     slow: u64,
     declined: u64,
+    /// Until when its feeds are silent.
+    mute_until: Instant,
+    /// Where the hints of each instance arrive, by its address.
+    inboxes: BTreeMap<Arc<str>, flume::Sender<Arc<str>>>,
     /// Partitions that it withholds.
     withheld: BTreeSet<Arc<str>>,
 }
@@ -46,6 +52,8 @@
             busy: BTreeMap::new(),
             slow: 1,
             declined: 0,
+            mute_until: Instant::now(),
+            inboxes: BTreeMap::new(),
             withheld: BTreeSet::new(),
         };
         Self {
@@ -59,6 +67,28 @@
         self.state.borrow_mut().slow = times;
     }
 
+    /// Silences the feeds for a time.
+    pub fn mute(&self, ms: u64) {
+        self.state.borrow_mut().mute_until = Instant::now() + Duration::from_millis(ms);
+    }
+
+    /// Carries hints between instances, at once.
+    pub fn carry(&self, address: &str, queues: HintQueues) {
+        self.state
+            .borrow_mut()
+            .inboxes
+            .insert(Arc::from(address), queues.incoming);
+        let store = self.clone();
+        spawn_local(async move {
+            while let Ok((to, key)) = queues.outgoing.recv_async().await {
+                let inbox = store.state.borrow().inboxes.get(&to).cloned();
+                if let Some(inbox) = inbox {
+                    inbox.try_send(key).expect("room for a hint");
+                }
+            }
+        });
+    }
+
     /// Declines all calls about a partition from now on.
     pub fn withhold(&self, partition: &str) {
         self.state.borrow_mut().withheld.insert(Arc::from(partition));
@@ -173,6 +203,11 @@
     async fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
         let end = Instant::now() + wait;
         loop {
+            let mute_until = self.state.borrow().mute_until;
+            if mute_until > Instant::now() {
+                sleep_until(mute_until).await;
+                return Err(StoreError::Unknown("the feed was cut".to_owned()));
+            }
             let changed = self.changed.notified();
             let (rows, version) = {
                 let state = self.state.borrow();
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -9,7 +9,7 @@
 use yuccaridge::dispatch::Tuning;
 use yuccaridge::graph::{JobGraph, Step};
 use yuccaridge::intake::{Admission, Denial, Desk, Stop, View, follow};
-use yuccaridge::lead::{Beat, Candidate, LEAD, LEDGER, LedgerEntry, Timing, run};
+use yuccaridge::lead::{Beat, Candidate, Hints, LEAD, LEDGER, LedgerEntry, Timing, run};
 use yuccaridge::metric::InstanceMetrics;
 use yuccaridge::net::SteadyClock;
 use yuccaridge::port::{
@@ -97,11 +97,13 @@
 }
 
 impl Instance {
-    /// Starts an instance with a processor share in thousandths of a core.
+    /// Starts an instance with a processor share in thousandths of a core; the store carries its hints as well.
     pub fn start(store: &MemoryStore, name: &str, millicores: u32) -> Self {
         let clock = SteadyClock::of_runtime();
         let view = Rc::new(View::new(2_000, clock));
         let stop = Rc::new(Stop::default());
+        let (hints, queues) = Hints::new(Arc::from(name));
+        store.carry(name, queues);
         let candidate = Candidate {
             name: Arc::from(name),
             life: u64::from(millicores),
@@ -118,16 +120,22 @@
                 defer_ms: u64::from(30_000 / millicores),
                 millicores,
             },
+            hints: Rc::clone(&hints),
             clock,
         };
         let following = spawn_local(follow(store.clone(), OneQueue, Rc::clone(&view)));
         Self {
-            desk: Desk::new(store.clone(), view),
+            desk: Desk::new(store.clone(), view, hints),
             tasks: vec![spawn_local(run(candidate)), following],
             stop,
         }
     }
 
+    /// Whether it knows that its configuration is in force.
+    pub fn is_fresh(&self) -> bool {
+        self.desk.view().is_fresh()
+    }
+
     /// Ends it as a lost process ends.
     pub fn kill(self) {
         for task in self.tasks {
