--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -128,7 +128,7 @@
 where
     R: Rows,
 {
-    let wait_ms = candidate.timing.beat_ms;
+    let mut wait_ms = candidate.timing.beat_ms;
     let mut watch = Watch::new(
         Arc::clone(&candidate.name),
         candidate.timing.clone(),
@@ -170,6 +170,7 @@
             wait_ms,
         });
         version = Some(at);
+        wait_ms = watch.wait_ms(clock_ms);
         candidate.hints.set_leader(watch.hints());
         match watch.verdict(clock_ms) {
             Verdict::Follow => {}
--- a/src/lead/watch.rs
+++ b/src/lead/watch.rs
@@ -35,6 +35,9 @@
 /// Time after which an offer that was not taken up is made again, in milliseconds.
 const OFFER_AGAIN_MS: u64 = 4_000;
 
+/// Least wait for a renewal, in milliseconds; about the time of a call, so that calls do not follow each other at once.
+const WAIT_MIN_MS: u64 = 10;
+
 /// What a follower should do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
@@ -194,7 +197,7 @@
         if *beat.holder == *self.name {
             return Verdict::Resign;
         }
-        if age >= self.timing.lapse_ms + DELAY_TIMES * self.delay_ms + defer {
+        if age >= self.lapse_ms() {
             return Verdict::Take(beat.fence);
         }
         if self.may_offer(beat, clock_ms) {
@@ -206,6 +209,20 @@
         Verdict::Follow
     }
 
+    /// Age of a renewal at which this instance takes the lead, in milliseconds.
+    fn lapse_ms(&self) -> u64 {
+        self.timing.lapse_ms + DELAY_TIMES * self.delay_ms + self.timing.defer_ms
+    }
+
+    /// How long the next call should wait for a renewal at `clock_ms` of the store, in milliseconds: it ends when this
+    /// instance would take the lead, so that the larger ones, which wait less, come first.
+    pub fn wait_ms(&self, clock_ms: u64) -> u64 {
+        let age = self.since.map_or(0, |since| clock_ms.saturating_sub(since));
+        self.lapse_ms()
+            .saturating_sub(age)
+            .clamp(WAIT_MIN_MS, self.timing.beat_ms)
+    }
+
     fn may_offer(&self, beat: &Beat, clock_ms: u64) -> bool {
         if !beat.strained || self.timing.millicores < beat.millicores * LARGER || self.delay_ms > PROMPT_MS {
             return false;
--- a/tests/lead/election.rs
+++ b/tests/lead/election.rs
@@ -157,3 +157,28 @@
         assert!(only.is_fresh());
     });
 }
+
+/// Guards against a lead that goes to whichever instance happens to look first: calls that wait for a renewal end at
+/// different times.
+#[test]
+fn the_largest_takes_the_lead_of_a_lost_instance() {
+    for offset in 0..10 {
+        play(async {
+            let store = store();
+            let first = Instance::start(&store, "first", 500);
+            pass(1_000).await;
+            let mut others = Vec::new();
+            for at in 0..8 {
+                others.push(Instance::start(&store, &format!("small{at}"), 90));
+                pass(61).await;
+            }
+            let _large = Instance::start(&store, "large", 500);
+            pass(1_000 + 50 * offset).await;
+
+            first.kill();
+            pass(2_500).await;
+
+            assert_eq!(leader(&store), Some(("large".to_owned(), 2)), "offset {offset}");
+        });
+    }
+}
