--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -76,10 +76,13 @@
                 let unwell = !matches!(
                     error,
                     OrderError::Refused {
-                        refusal: Refusal::Room | Refusal::Old | Refusal::Late,
+                        refusal: Refusal::Room | Refusal::Old | Refusal::Late | Refusal::Ticket,
                         ..
                     }
                 );
+                if let OrderError::Refused { refusal, .. } = &error {
+                    self.ticket_refused(&start.job, start.unit, &start.endpoint, *refusal);
+                }
                 if unwell {
                     self.shun(&start.endpoint, tuning.unwell_ms, now);
                 } else {
@@ -254,14 +257,18 @@
     pub(super) fn resend(&mut self, now: u64) {
         for (id, job) in &mut self.jobs {
             let payload = Arc::clone(&job.payload);
+            let tickets = &job.tickets;
             for (position, unit) in job.units.iter_mut().enumerate() {
+                let tickets = tickets.get(&(unit.occurrence, unit.step));
                 let (run, checkpoint) = (unit.run, Arc::clone(&unit.checkpoint));
                 for (at, member) in unit.members.iter_mut().enumerate() {
                     match &mut member.state {
                         MemberState::Sent { tries, next } if *next <= now => {
                             *tries += 1;
                             *next = now + self.tuning.resend_ms;
+                            let ticket = tickets.and_then(|tickets| tickets.valid(&member.endpoint, member.born, now));
                             self.effects.push(Effect::Start(Start {
+                                ticket: ticket.cloned().unwrap_or_else(|| Arc::from("")),
                                 job: Arc::clone(id),
                                 unit: position,
                                 member: at,
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -30,6 +30,8 @@
     pub(super) typical: f64,
     /// Something changed that may let a waiting unit start.
     pub(super) changed: bool,
+    /// Questions under way.
+    pub(super) asking: usize,
     /// Starts decided, and ends by reason, since they were last taken.
     pub(super) counts: Counts,
     /// Nothing more is placed.
@@ -65,6 +67,7 @@
             typical: 0.0,
             learned: BTreeMap::new(),
             changed: true,
+            asking: 0,
             counts: Counts::default(),
             paused: false,
             last_round: 0,
--- a/src/dispatch/effect.rs
+++ b/src/dispatch/effect.rs
@@ -21,6 +21,27 @@
     pub payload: Arc<str>,
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: Arc<str>,
+    /// Permission of the advice service; empty where none is needed.
+    pub ticket: Arc<str>,
+}
+
+/// Question where a step may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Id of the job.
+    pub job: Arc<str>,
+    /// Occurrence and step.
+    pub kind: (u32, usize),
+    /// Name of the step.
+    pub step: Arc<str>,
+    /// Endpoints in question.
+    pub endpoints: Vec<Arc<str>>,
+    /// How long a ticket is valid, in milliseconds.
+    pub valid_ms: u64,
+    /// Time in which an answer is expected, in milliseconds.
+    pub limit_ms: u64,
+    /// When the question was decided, in milliseconds.
+    pub asked: u64,
 }
 
 /// Stop of one run.
@@ -41,4 +62,6 @@
     Start(Start),
     /// Stop a run.
     Stop(Stop),
+    /// Ask where a step may run.
+    Ask(Ask),
 }
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::{StepPace, Unit, UnitState, Works};
+use super::{StepPace, Tickets, Unit, UnitState, Works};
 use crate::graph::{JobRecord, Phase, Step, Submission, TaskName};
 use crate::port::{Queue, Room};
 
@@ -26,6 +26,8 @@
     pub phase: Phase,
     /// Measured speeds of each step.
     pub paces: Vec<StepPace>,
+    /// Tickets by occurrence and step, if its queue needs them.
+    pub tickets: BTreeMap<(u32, usize), Tickets>,
     /// Its submission is stored beside the records.
     pub kept: bool,
     /// Since when units of an occurrence and step wait beside twice the room that they need, only not where it should be, in
@@ -71,6 +73,7 @@
             queue: None,
             units,
             phase,
+            tickets: BTreeMap::new(),
             kept: record.is_some(),
             idle_since: BTreeMap::new(),
             accepted: now.saturating_sub(age_ms),
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 //! A member of a unit is in one of the states of [`MemberState`]. Its room counts as taken until the endpoint has shown
 //! that the run is gone, or until every lease that may cover it has passed.
 
+mod advise;
 mod answers;
 mod claim;
 mod counts;
@@ -28,13 +29,14 @@
 mod sites;
 mod snapshot;
 mod storing;
+mod tickets;
 mod tuning;
 mod unit;
 mod works;
 
 pub use counts::Counts;
 pub use dispatcher::Dispatcher;
-pub use effect::{Effect, Start, Stop};
+pub use effect::{Ask, Effect, Start, Stop};
 pub use endpoint::{Endpoint, Hold};
 pub use job::Job;
 pub use learned::{Learned, LearnedPace, LearnedWork};
@@ -42,6 +44,7 @@
 pub use pace::{Pace, StepPace};
 pub use site::Site;
 pub use snapshot::{JobWrite, Snapshot};
+pub use tickets::Tickets;
 pub use tuning::Tuning;
 pub use unit::{Unit, UnitState};
 pub use works::{Work, Works};
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -31,6 +31,8 @@
     pub peers: BTreeMap<Arc<str>, u32>,
     /// Endpoints on which it failed.
     pub avoid: &'a BTreeSet<Arc<str>>,
+    /// Endpoints that may run it, with their tickets; `None` for all.
+    pub tickets: Option<BTreeMap<Arc<str>, Arc<str>>>,
     /// Fast endpoints come first.
     pub urgent: bool,
     /// Endpoints below this speed are left out.
@@ -40,8 +42,24 @@
 }
 
 impl Demand<'_> {
-    /// How many of its tasks an endpoint could take with `free` room.
+    /// Whether the advice service lets it run on an endpoint.
+    pub fn allowed_here(&self, site: &Site) -> bool {
+        self.tickets
+            .as_ref()
+            .is_none_or(|tickets| tickets.contains_key(&site.name))
+    }
+
+    /// How many of its tasks an endpoint could take with `free` room, if it may.
     pub fn times(&self, site: &Site, free: &Room) -> u32 {
+        if self.allowed_here(site) {
+            self.fitting(site, free)
+        } else {
+            0
+        }
+    }
+
+    /// How many of its tasks fit an endpoint with `free` room.
+    pub fn fitting(&self, site: &Site, free: &Room) -> u32 {
         if site.speed < self.least_speed || !site.has(self.label) || self.avoid.contains(&site.name) {
             return 0;
         }
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::advise::worth_asking;
 use super::endpoint::Occupant;
 use super::job::weight;
 use super::order::Rank;
@@ -88,8 +89,7 @@
         for (rank, id) in order {
             let job = &self.jobs[&id];
             let Some(queue) = job.queue.clone() else { continue };
-            // Endpoints refuse starts without a ticket.
-            if queue.advised || self.policy.pools.get(&queue.pool).is_some_and(|pool| pool.standby) {
+            if self.policy.pools.get(&queue.pool).is_some_and(|pool| pool.standby) {
                 continue;
             }
             let sites = pools.remove(&queue.pool).unwrap_or_else(|| {
@@ -119,6 +119,7 @@
         let mut due: BTreeMap<(u32, usize), bool> = BTreeMap::new();
         let none = BTreeSet::new();
         let mut idle: BTreeSet<(u32, usize)> = BTreeSet::new();
+        let mut questions: BTreeMap<(u32, usize), Vec<Arc<str>>> = BTreeMap::new();
         let units = self.jobs[id].units.len();
         for position in 0..units {
             let job = &self.jobs[id];
@@ -150,6 +151,11 @@
                 self.start(id, position, &mut sites, &chosen, now);
                 continue;
             }
+            if demand.tickets.is_some() {
+                questions
+                    .entry(kind)
+                    .or_insert_with(|| worth_asking(&sites, &demand, job.tickets.get(&kind)));
+            }
             if claim.is_none() && sites.is_idle() && demand.anywhere(&none).fits_twice(&sites) {
                 idle.insert(kind);
                 let since = job.idle_since.get(&kind).copied().unwrap_or(now);
@@ -181,34 +187,15 @@
                 continue;
             }
             if rank.is_urgent() {
-                let owed = self.is_pressing(id, now) && self.is_owed(id, &self.claimed());
-                let mut plan = self.plan_claim(&sites, &demand, false, now).filter(|(_, victims)| {
-                    let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
-                    owed || !rank.is_late() && cost <= self.claim_limit(id, position, now)
-                });
-                demand.least_speed = 0.0;
-                let slow = if plan.is_none() {
-                    place::place(&sites, &demand)
-                } else {
-                    None
-                };
-                if owed && plan.is_none() && slow.is_none() {
-                    plan = self.plan_claim(&sites, &demand, true, now);
-                    if plan.is_none() && demand.adjacent {
-                        demand.adjacent = false;
-                        plan = self.plan_claim(&sites, &demand, true, now);
-                    }
-                }
-                if let Some((claim, victims)) = plan {
-                    self.preempt(id, position, &mut sites, claim, victims, now);
-                } else if let Some(chosen) = slow {
-                    self.start(id, position, &mut sites, &chosen, now);
-                }
+                self.press(id, position, &mut sites, &rank, now);
             } else if demand.count > 1 && *reserved < self.tuning.reservations {
                 *reserved += 1;
                 self.reserve(id, position, &mut sites, &rank, now);
             }
         }
+        for (kind, endpoints) in questions {
+            self.ask(id, kind, endpoints, now);
+        }
         if let Some(job) = self.jobs.get_mut(id) {
             job.idle_since.retain(|kind, _| idle.contains(kind));
             for kind in idle {
@@ -218,6 +205,35 @@
         sites
     }
 
+    /// Makes room for an urgent unit at the cost of others, or takes slow endpoints.
+    fn press(&mut self, id: &Arc<str>, position: usize, sites: &mut Sites, rank: &Rank, now: u64) {
+        let mut demand = self.demand(sites, id, position, rank, now);
+        demand.least_speed = sites.slow_below();
+        let owed = self.is_pressing(id, now) && self.is_owed(id, &self.claimed());
+        let mut plan = self.plan_claim(sites, &demand, false, now).filter(|(_, victims)| {
+            let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
+            owed || !rank.is_late() && cost <= self.claim_limit(id, position, now)
+        });
+        demand.least_speed = 0.0;
+        let slow = if plan.is_none() {
+            place::place(sites, &demand)
+        } else {
+            None
+        };
+        if owed && plan.is_none() && slow.is_none() {
+            plan = self.plan_claim(sites, &demand, true, now);
+            if plan.is_none() && demand.adjacent {
+                demand.adjacent = false;
+                plan = self.plan_claim(sites, &demand, true, now);
+            }
+        }
+        if let Some((claim, victims)) = plan {
+            self.preempt(id, position, sites, claim, victims, now);
+        } else if let Some(chosen) = slow {
+            self.start(id, position, sites, &chosen, now);
+        }
+    }
+
     /// What a unit asks for.
     pub(super) fn demand(&self, sites: &Sites, id: &Arc<str>, position: usize, rank: &Rank, now: u64) -> Demand<'_> {
         let job = &self.jobs[id];
@@ -244,6 +260,7 @@
             spread: step.spread,
             peers,
             avoid: &unit.avoid,
+            tickets: self.tickets(id, (unit.occurrence, unit.step), now),
             urgent: rank.is_urgent(),
             least_speed: 0.0,
             ends_at: now + job.expected_ms(step, &self.works) as u64,
@@ -266,6 +283,7 @@
         let names: Vec<Arc<str>> = (0..chosen.len()).map(|at| job.task(position, at as u32)).collect();
         let payload = Arc::clone(&job.payload);
         let unit = &mut job.units[position];
+        let tickets = job.tickets.get(&(unit.occurrence, unit.step));
         unit.run += 1;
         unit.state = UnitState::Active;
         unit.placed_at = now;
@@ -292,7 +310,9 @@
                 moved_at: now,
                 base: None,
             });
+            let ticket = tickets.and_then(|tickets| tickets.valid(&site.name, endpoint.entry.born, now));
             self.starts.push(Start {
+                ticket: ticket.cloned().unwrap_or_else(|| Arc::from("")),
                 job: Arc::clone(id),
                 unit: position,
                 member: at,
--- a/src/intake/denial.rs
+++ b/src/intake/denial.rs
@@ -23,9 +23,6 @@
     /// The job can't be accepted as it is.
     #[error("the job is not valid")]
     BadJob,
-    /// The queue needs tickets of an advice service, which is not asked yet; nothing was done.
-    #[error("the queue needs tickets of an advice service, which this version does not ask for")]
-    Unsupported,
     /// The store declined; nothing was done.
     #[error("the store is not available")]
     Unavailable,
--- a/src/intake/desk.rs
+++ b/src/intake/desk.rs
@@ -82,10 +82,6 @@
             log::info!(job = id, error:% = error; "job refused");
             return Err(Denial::BadJob);
         }
-        // Its tasks would never start.
-        if admission.queue.advised {
-            return Err(Denial::Unsupported);
-        }
         let submission = Submission {
             queue: admission.queue.name.to_string(),
             team: admission.team.to_string(),
--- a/src/lead/tend.rs
+++ b/src/lead/tend.rs
@@ -7,8 +7,8 @@
 use tokio::time::sleep;
 
 use super::progress::Progress;
-use crate::dispatch::{Effect, Start, Stop};
-use crate::port::{HoldOrder, OrderError, Orders, Refusal, StartOrder, StopOrder, Target};
+use crate::dispatch::{Ask, Effect, Start, Stop};
+use crate::port::{HoldOrder, OrderError, Orders, Question, Refusal, StartOrder, StopOrder, Target};
 
 /// Pause after a hold without an answer.
 const SILENT_PAUSE: Duration = Duration::from_millis(300);
@@ -24,6 +24,7 @@
     match effect {
         Effect::Start(start) => send_start(&progress, &orders, start).await,
         Effect::Stop(stop) => send_stop(&progress, &orders, stop).await,
+        Effect::Ask(ask) => send_question(&progress, &orders, &ask).await,
     }
     progress.wake.notify_one();
 }
@@ -56,7 +57,7 @@
                 checkpoint: Arc::clone(&start.checkpoint),
                 lease_end,
                 fence: progress.fence,
-                ticket: Arc::from(""),
+                ticket: Arc::clone(&start.ticket),
             };
             orders.start(&target, &order).await
         }
@@ -89,6 +90,19 @@
     progress.dispatcher.borrow_mut().stopped(&stop, answer, now);
 }
 
+async fn send_question<O>(progress: &Progress, orders: &O, ask: &Ask)
+where
+    O: Orders,
+{
+    let question = Question {
+        step: Arc::clone(&ask.step),
+        endpoints: ask.endpoints.clone(),
+    };
+    let answer = orders.advise(&question, Duration::from_millis(ask.limit_ms)).await;
+    let now = progress.clock.now();
+    progress.dispatcher.borrow_mut().advised(ask, answer, now);
+}
+
 fn check_fence(progress: &Progress, error: Option<&OrderError>) {
     if let Some(OrderError::Refused {
         refusal: Refusal::Fence,
--- a/src/port/mod.rs
+++ b/src/port/mod.rs
@@ -5,6 +5,7 @@
 //! so that tests run without a network. None of them decides anything: retries, timeouts of a whole operation and the
 //! meaning of an unknown outcome belong to the callers.
 
+mod advice;
 mod change;
 mod commit;
 mod endpoint_entry;
@@ -21,6 +22,7 @@
 mod store_error;
 mod team_entry;
 
+pub use advice::{Advice, AdviceTerms, Question};
 pub use change::{Changes, Page, Range};
 pub use commit::Commit;
 pub use endpoint_entry::EndpointEntry;
--- a/src/port/queue.rs
+++ b/src/port/queue.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use super::AdviceTerms;
+
 /// A queue that callers submit jobs to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Queue {
@@ -23,6 +25,6 @@
     pub slack_ms: u64,
     /// No key is needed.
     pub open: bool,
-    /// Starts on its endpoints need a ticket of the site's advice service.
-    pub advised: bool,
+    /// Terms of the site's advice service, if starts on its endpoints need a ticket.
+    pub advice: Option<AdviceTerms>,
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher.
 
+mod advice;
 mod claim;
 mod doubt;
 mod evacuate;
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -45,6 +45,7 @@
         match &self.effect {
             Effect::Start(start) => &start.endpoint,
             Effect::Stop(stop) => &stop.endpoint,
+            Effect::Ask(_) => unreachable!("no queue here needs advice"),
         }
     }
 }
@@ -158,6 +159,7 @@
         let endpoint = match effect {
             Effect::Start(start) => Arc::clone(&start.endpoint),
             Effect::Stop(stop) => Arc::clone(&stop.endpoint),
+            Effect::Ask(_) => unreachable!("no queue here needs advice"),
         };
         let until = match effect {
             Effect::Start(start) => {
@@ -166,7 +168,7 @@
                 };
                 until
             }
-            Effect::Stop(_) => 0,
+            Effect::Stop(_) | Effect::Ask(_) => 0,
         };
         let wrong = self.random.random_bool(self.trouble);
         if !self.reaches(&endpoint) {
@@ -191,6 +193,7 @@
         match effect {
             Effect::Start(start) => self.fleet.start(start, fence, until, self.now),
             Effect::Stop(stop) => self.fleet.stop(stop, fence, self.now),
+            Effect::Ask(_) => unreachable!("no queue here needs advice"),
         }
     }
 
@@ -198,6 +201,7 @@
         match effect {
             Effect::Start(start) => self.started(start, answer),
             Effect::Stop(stop) => self.stopped(stop, answer),
+            Effect::Ask(_) => unreachable!("no queue here needs advice"),
         }
     }
 
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use yuccaridge::dispatch::{Dispatcher, Effect, JobWrite, Snapshot, Start, Stop, Tuning};
+use yuccaridge::dispatch::{Ask, Dispatcher, Effect, JobWrite, Snapshot, Start, Stop, Tuning};
 use yuccaridge::graph::{JobGraph, Step, Submission};
-use yuccaridge::port::{End, EndpointEntry, HttpLimits, Outcome, Policy, Pool, Queue, Report, Room, Running, Team};
+use yuccaridge::port::{
+    AdviceTerms, End, EndpointEntry, HttpLimits, Outcome, Policy, Pool, Queue, Report, Room, Running, Team,
+};
 
 /// Time at which each test begins, in milliseconds; any value above all leases.
 pub const T0: u64 = 1_000_000;
@@ -19,6 +21,7 @@
     pub now: u64,
     pub starts: Vec<Start>,
     pub stops: Vec<Stop>,
+    pub asks: Vec<Ask>,
     /// Latest stored state by job.
     pub stored: BTreeMap<Arc<str>, JobWrite>,
     /// Latest end that each endpoint may forget.
@@ -46,10 +49,21 @@
             stretch: 3.0,
             slack_ms: 1_000,
             open: false,
-            advised: false,
+            advice: None,
         };
         policy.queues.insert(Arc::clone(&queue.name), Arc::new(queue));
     }
+    let advised = Queue {
+        name: name("advised"),
+        prefix: name("/advised/"),
+        advice: Some(AdviceTerms {
+            decide_ms: 100,
+            period_ms: 10,
+            valid_ms: 3_000,
+        }),
+        ..Queue::clone(&policy.queues["normal"])
+    };
+    policy.queues.insert(Arc::clone(&advised.name), Arc::new(advised));
     let pool = Pool {
         guards: true,
         standby: false,
@@ -140,6 +154,7 @@
             now: T0,
             starts: Vec::new(),
             stops: Vec::new(),
+            asks: Vec::new(),
             stored: BTreeMap::new(),
             seen: BTreeMap::new(),
         }
@@ -203,6 +218,7 @@
             match effect {
                 Effect::Start(start) => self.starts.push(start),
                 Effect::Stop(stop) => self.stops.push(stop),
+                Effect::Ask(ask) => self.asks.push(ask),
             }
         }
     }
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -13,8 +13,8 @@
 use yuccaridge::metric::InstanceMetrics;
 use yuccaridge::net::SteadyClock;
 use yuccaridge::port::{
-    EndpointEntry, Entries, HoldOrder, OrderError, Orders, Policy, Pool, Queue, Report, Row, StartOrder, StopOrder,
-    Target,
+    Advice, EndpointEntry, Entries, HoldOrder, OrderError, Orders, Policy, Pool, Question, Queue, Report, Row,
+    StartOrder, StopOrder, Target,
 };
 
 use crate::store::MemoryStore;
@@ -36,6 +36,10 @@
         Err(unreachable_endpoint())
     }
 
+    async fn advise(&self, _: &Question, _: Duration) -> Result<Advice, OrderError> {
+        Err(unreachable_endpoint())
+    }
+
     async fn hold(&self, _: &Target, _: &HoldOrder) -> Result<Report, OrderError> {
         Err(unreachable_endpoint())
     }
@@ -85,7 +89,7 @@
         stretch: 3.0,
         slack_ms: 1_000,
         open: true,
-        advised: false,
+        advice: None,
     })
 }
 
