--- a/src/dispatch/snapshot.rs
+++ b/src/dispatch/snapshot.rs
@@ -32,3 +32,10 @@
     /// All changes up to now are in it.
     pub complete: bool,
 }
+
+impl Snapshot {
+    /// Whether there is nothing to store.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.starts.is_empty() && self.seen.is_empty()
+    }
+}
--- a/src/dispatch/storing.rs
+++ b/src/dispatch/storing.rs
@@ -39,7 +39,7 @@
                 }
             }
         }
-        if snapshot.jobs.is_empty() && snapshot.starts.is_empty() && snapshot.seen.is_empty() {
+        if snapshot.is_empty() {
             return None;
         }
         Some(snapshot)
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -28,6 +28,8 @@
     pub defer_ms: u64,
     /// Processor share of this instance, in thousandths of a core.
     pub millicores: u32,
+    /// How long the rows of a job stay after it has ended, in milliseconds.
+    pub keep_ms: u64,
 }
 
 /// An instance that may lead.
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -6,16 +6,20 @@
 //! endpoint before it orders anything there. Endpoints refuse lower tokens.
 
 mod beat;
+mod clean;
 mod election;
+mod feeds;
 mod hint;
 mod leader;
 mod ledger;
 mod offer;
 mod progress;
+mod retired;
 mod strain;
 mod tables;
 mod tend;
 mod watch;
+mod writes;
 
 pub use beat::Beat;
 pub use election::{Candidate, Timing, run};
--- a/src/lead/progress.rs
+++ b/src/lead/progress.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use super::Strain;
+use super::retired::Retired;
 use crate::dispatch::Dispatcher;
 use crate::net::SteadyClock;
 
@@ -29,6 +30,10 @@
     pub renewed: Cell<u64>,
     /// A larger instance that is to lead instead.
     pub successor: RefCell<Option<Arc<str>>>,
+    /// Jobs that have ended.
+    pub retired: RefCell<Retired>,
+    /// Jobs whose rows in the leader's partition are to go with the next transaction.
+    pub leaving: RefCell<Vec<Arc<str>>>,
     /// Whether the process gets the processor in time.
     pub strain: Cell<Strain>,
 }
@@ -45,10 +50,17 @@
             known: RefCell::default(),
             renewed: Cell::new(clock.now()),
             successor: RefCell::default(),
+            retired: RefCell::default(),
+            leaving: RefCell::default(),
             strain: Cell::default(),
         })
     }
 
+    /// Whether the lead is to be given up: to a larger instance, or because this one stops.
+    pub fn gives_way(&self, stopping: bool) -> bool {
+        stopping || self.successor.borrow().is_some()
+    }
+
     /// Notes that another instance leads.
     pub fn depose(&self, why: &str) {
         if !self.deposed.replace(true) {
--- a/tests/lead/election.rs
+++ b/tests/lead/election.rs
@@ -1,7 +1,7 @@
 //! Who leads when the store is slow, when leaders die, and when all start at once.
 
 use yuccaridge::intake::Denial;
-use yuccaridge::lead::{PENDING, intake_partition};
+use yuccaridge::lead::{INTAKE, JOB, PENDING, PHASE, intake_partition};
 
 use crate::world::{Instance, leader, leave_lead, pass, play, store};
 
@@ -182,3 +182,63 @@
         });
     }
 }
+
+/// Guards against a store that fills up, and a takeover that reads all jobs that ever were.
+#[test]
+fn rows_of_jobs_that_ended_long_ago_go() {
+    play(async {
+        let store = store();
+        let first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        first.submit("000000000000000a").await.expect("a store that answers");
+        first.submit("000000000000000b").await.expect("a store that answers");
+        first.cancel("000000000000000a").await.expect("a store that answers");
+        pass(50_000).await;
+        let kept = [INTAKE, JOB, PHASE].map(|table| store.count(table));
+
+        pass(20_000).await;
+
+        // What was accepted and cancelled; then the open job only.
+        assert_eq!(kept, [3, 2, 2]);
+        assert_eq!([INTAKE, JOB, PHASE].map(|table| store.count(table)), [1, 1, 1]);
+    });
+}
+
+/// Guards against an id whose job has gone and that nobody can use again.
+#[test]
+fn an_id_names_a_new_job_after_its_rows_have_gone() {
+    play(async {
+        let store = store();
+        let first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        first.submit("000000000000000a").await.expect("a store that answers");
+        first.cancel("000000000000000a").await.expect("a store that answers");
+        pass(70_000).await;
+
+        first.submit("000000000000000a").await.expect("a store that answers");
+        pass(1_000).await;
+
+        assert_eq!(store.value(PENDING, "1").as_deref(), Some(&b"batch\t1\n"[..]));
+    });
+}
+
+/// Guards against a late word of the removal that is taken for the job itself.
+#[test]
+fn an_id_names_a_new_job_also_if_the_feed_tells_late_of_the_removal() {
+    play(async {
+        let store = store();
+        let first = Instance::start(&store, "first", 500);
+        pass(1_000).await;
+        first.submit("000000000000000a").await.expect("a store that answers");
+        first.cancel("000000000000000a").await.expect("a store that answers");
+        pass(58_000).await;
+
+        store.mute(8_000);
+        pass(10_000).await;
+        first.submit("000000000000000a").await.expect("a store that answers");
+        pass(1_000).await;
+
+        assert_eq!(store.count(INTAKE), 1);
+        assert_eq!(store.value(PENDING, "1").as_deref(), Some(&b"batch\t1\n"[..]));
+    });
+}
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -114,6 +114,14 @@
         state.rows.get(&RowKey::new(table, key))?.1.value.clone()
     }
 
+    /// Number of rows of a table, in all partitions.
+    pub fn count(&self, table: &str) -> usize {
+        let state = self.state.borrow();
+        let rows = state.rows.iter();
+        rows.filter(|(key, (_, row))| *key.table == *table && row.value.is_some())
+            .count()
+    }
+
     async fn answer(&self) {
         let slow = self.state.borrow().slow;
         sleep(Duration::from_millis(ANSWER_MS * slow)).await;
@@ -146,6 +154,14 @@
             };
             state.rows.insert(key.clone(), (Arc::clone(&commit.partition), row));
         }
+        for key in &commit.remove {
+            let row = Row {
+                key: Arc::clone(&key.key),
+                value: None,
+                version,
+            };
+            state.rows.insert(key.clone(), (Arc::clone(&commit.partition), row));
+        }
         drop(state);
         self.changed.notify_waiters();
         Ok(version)
--- a/tests/lead/watch.rs
+++ b/tests/lead/watch.rs
@@ -14,6 +14,7 @@
         lapse_ms: 1_500,
         defer_ms: 60,
         millicores,
+        keep_ms: 60_000,
     };
     Watch::new(Arc::from("me"), timing, 0)
 }
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -5,7 +5,7 @@
 
 use prost::Message;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep};
 use yuccaridge::dispatch::Tuning;
 use yuccaridge::graph::{JobGraph, Step};
 use yuccaridge::intake::{Admission, Denial, Desk, Stop, View, follow};
@@ -93,6 +93,18 @@
     })
 }
 
+fn admission(id: &str) -> Admission {
+    Admission {
+        queue: queue(),
+        team: Arc::from(""),
+        rest: Arc::from(id),
+    }
+}
+
+fn in_three_seconds() -> Instant {
+    Instant::now() + Duration::from_secs(3)
+}
+
 /// One instance.
 pub struct Instance {
     pub stop: Rc<Stop>,
@@ -123,6 +135,7 @@
                 lapse_ms: 1_500,
                 defer_ms: u64::from(30_000 / millicores),
                 millicores,
+                keep_ms: 60_000,
             },
             hints: Rc::clone(&hints),
             clock,
@@ -147,13 +160,13 @@
         }
     }
 
-    /// Hands a job in that has three seconds.
+    /// Cancels a job.
+    pub async fn cancel(&self, id: &str) -> Result<(), Denial> {
+        self.desk.cancel(&admission(id), id, in_three_seconds()).await
+    }
+
+    /// Hands a job in.
     pub async fn submit(&self, id: &str) -> Result<(), Denial> {
-        let admission = Admission {
-            queue: queue(),
-            team: Arc::from(""),
-            rest: Arc::from(id),
-        };
         let step = Step {
             count: 1,
             accelerators: 1,
@@ -167,8 +180,7 @@
             start_ms: 0,
             interval_ms: 0,
         };
-        let deadline = tokio::time::Instant::now() + Duration::from_secs(3);
-        self.desk.submit(&admission, id, graph, deadline).await
+        self.desk.submit(&admission(id), id, graph, in_three_seconds()).await
     }
 }
 
