--- a/src/lead/clean.rs
+++ b/src/lead/clean.rs
@@ -64,6 +64,9 @@
     }
 }
 
+/// Time after which no read is under way that may still show a row that was removed; longer than any call to the store.
+const FORGET_PAUSE: Duration = Duration::from_secs(5);
+
 /// Forgets jobs whose rows are gone. An id that was used again meanwhile names a new job, which the feed has told of in vain.
 pub(super) fn forget<R, O, E>(
     candidate: &Candidate<R, O, E>,
@@ -76,8 +79,11 @@
     E: Entries,
 {
     for id in gone {
-        progress.known.borrow_mut().remove(&id);
         let (candidate, progress) = (candidate.clone(), Rc::clone(progress));
-        tasks.spawn_local(async move { read_hinted(&candidate, &progress, &id).await });
+        tasks.spawn_local(async move {
+            sleep(FORGET_PAUSE).await;
+            progress.known.borrow_mut().remove(&id);
+            read_hinted(&candidate, &progress, &id).await;
+        });
     }
 }
