--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -30,7 +30,7 @@
     pub tickets: BTreeMap<(u32, usize), Tickets>,
     /// Its submission is stored beside the records.
     pub kept: bool,
-    /// Since when units of an occurrence and step wait beside twice the room that they need, only not where it should be, in
+    /// Since when units of an occurrence and step wait although there is twice the room that they need elsewhere, in
     /// milliseconds.
     pub idle_since: BTreeMap<(u32, usize), u64>,
     /// When it was accepted, on the dispatcher's clock, in milliseconds.
--- a/src/lead/writes.rs
+++ b/src/lead/writes.rs
@@ -18,9 +18,11 @@
 /// Time between two writes of what was learned, in milliseconds; a new leader starts with figures of about this age.
 const LEARNED_MS: u64 = 3_000;
 
-/// Ended jobs that one transaction removes, and most others that it may carry then: three rows each, of 100 in all.
+/// Most ended jobs whose rows one transaction removes; each takes three of the 100 rows that the store accepts.
 const LEAVING_MAX: usize = 25;
-const BESIDE_LEAVING_MAX: usize = 5;
+
+/// Most jobs that such a transaction writes besides.
+const WRITTEN_MAX: usize = 5;
 
 /// One transaction of the leader.
 #[derive(Debug)]
@@ -102,7 +104,7 @@
         }
         let snapshot = snapshot.unwrap_or_default();
         let mut leaving = Vec::new();
-        if snapshot.jobs.len() <= BESIDE_LEAVING_MAX {
+        if snapshot.jobs.len() <= WRITTEN_MAX {
             let mut all = progress.leaving.borrow_mut();
             let count = all.len().min(LEAVING_MAX);
             leaving.extend(all.drain(..count));
