--- a/src/dispatch/advise.rs
+++ b/src/dispatch/advise.rs
@@ -8,7 +8,7 @@
 
 use super::place::Demand;
 use super::sites::Sites;
-use super::{Ask, Dispatcher, Effect, Tickets};
+use super::{Ask, Dispatcher, Effect};
 use crate::port::{Advice, OrderError, Refusal};
 
 /// Endpoints that a question names at most: the users count one question on 30 endpoints into the time of a step.
@@ -18,28 +18,12 @@
 const ASKING_MAX: usize = 4;
 
 /// Time for the order on its way within which a ticket must still be valid, in milliseconds.
-const TRANSIT_MS: u64 = 300;
+pub(super) const TRANSIT_MS: u64 = 300;
 
 /// Pause after a question without an answer, in milliseconds.
 const AGAIN_MS: u64 = 500;
 
 impl Dispatcher {
-    /// Valid tickets of a step; `None` if its queue needs none.
-    pub(super) fn tickets(&self, id: &Arc<str>, kind: (u32, usize), now: u64) -> Option<BTreeMap<Arc<str>, Arc<str>>> {
-        let job = &self.jobs[id];
-        job.queue.as_ref()?.advice?;
-        let mut valid = BTreeMap::new();
-        let Some(tickets) = job.tickets.get(&kind) else {
-            return Some(valid);
-        };
-        for (name, endpoint) in &self.endpoints {
-            if let Some(ticket) = tickets.valid(name, endpoint.entry.born, now + TRANSIT_MS) {
-                valid.insert(Arc::clone(name), Arc::clone(ticket));
-            }
-        }
-        Some(valid)
-    }
-
     /// Asks where a step that found no room may run, if something new may come of it.
     pub(super) fn ask(&mut self, id: &Arc<str>, kind: (u32, usize), endpoints: Vec<Arc<str>>, now: u64) {
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -111,10 +95,11 @@
 }
 
 /// Endpoints worth asking about: those with room for a task come first, and passed tickets are renewed only there.
-pub(super) fn worth_asking(sites: &Sites, demand: &Demand<'_>, tickets: Option<&Tickets>) -> Vec<Arc<str>> {
+pub(super) fn worth_asking(sites: &Sites, demand: &Demand<'_>) -> Vec<Arc<str>> {
+    let tickets = demand.permit.tickets();
     let mut ranked = Vec::new();
     for site in sites.iter() {
-        if tickets.is_some_and(|tickets| tickets.is_refused(&site.name)) || demand.allowed_here(site) {
+        if tickets.is_some_and(|tickets| tickets.is_refused(&site.name)) || demand.permit.allows(site) {
             continue;
         }
         if demand.fitting(site, &site.capacity) == 0 {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod member;
 mod order;
 mod pace;
+mod permit;
 mod place;
 mod preempt;
 mod report;
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::Site;
+use super::permit::Permit;
 use super::sites::Sites;
 use crate::port::Room;
 
@@ -31,8 +32,8 @@
     pub peers: BTreeMap<Arc<str>, u32>,
     /// Endpoints on which it failed.
     pub avoid: &'a BTreeSet<Arc<str>>,
-    /// Endpoints that may run it, with their tickets; `None` for all.
-    pub tickets: Option<BTreeMap<Arc<str>, Arc<str>>>,
+    /// What it needs of the advice service.
+    pub permit: Permit<'a>,
     /// Fast endpoints come first.
     pub urgent: bool,
     /// Endpoints below this speed are left out.
@@ -42,16 +43,9 @@
 }
 
 impl Demand<'_> {
-    /// Whether the advice service lets it run on an endpoint.
-    pub fn allowed_here(&self, site: &Site) -> bool {
-        self.tickets
-            .as_ref()
-            .is_none_or(|tickets| tickets.contains_key(&site.name))
-    }
-
     /// How many of its tasks an endpoint could take with `free` room, if it may.
     pub fn times(&self, site: &Site, free: &Room) -> u32 {
-        if self.allowed_here(site) {
+        if self.permit.allows(site) {
             self.fitting(site, free)
         } else {
             0
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -6,11 +6,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::advise::worth_asking;
+use super::advise::{TRANSIT_MS, worth_asking};
 use super::endpoint::Occupant;
 use super::job::weight;
 use super::order::Rank;
 use super::pace;
+use super::permit::Permit;
 use super::place::{self, Demand};
 use super::preempt::hold_back;
 use super::sites::Sites;
@@ -32,6 +33,7 @@
             }
             sites.push(Site {
                 name: Arc::clone(name),
+                born: endpoint.entry.born,
                 rack: endpoint.entry.rack.clone(),
                 labels: endpoint.entry.labels.clone(),
                 capacity: endpoint.entry.capacity,
@@ -151,16 +153,18 @@
                 self.start(id, position, &mut sites, &chosen, now);
                 continue;
             }
-            if demand.tickets.is_some() {
-                questions
-                    .entry(kind)
-                    .or_insert_with(|| worth_asking(&sites, &demand, job.tickets.get(&kind)));
+            if demand.permit.is_needed() {
+                questions.entry(kind).or_insert_with(|| worth_asking(&sites, &demand));
             }
-            if claim.is_none() && sites.is_idle() && demand.anywhere(&none).fits_twice(&sites) {
+            if claim.is_none()
+                && sites.is_idle()
+                && let anywhere = demand.anywhere(&none)
+                && anywhere.fits_twice(&sites)
+            {
                 idle.insert(kind);
                 let since = job.idle_since.get(&kind).copied().unwrap_or(now);
                 if now - since >= self.tuning.idle_ms
-                    && let Some(chosen) = place::place(&sites, &demand.anywhere(&none))
+                    && let Some(chosen) = place::place(&sites, &anywhere)
                 {
                     log::info!(job:% = id, unit = position, waited_ms = now - since; "placed where it is slower, beside idle endpoints");
                     self.start(id, position, &mut sites, &chosen, now);
@@ -172,7 +176,7 @@
             } else {
                 // The endpoints on which it failed are better than none.
                 let relaxed = Demand {
-                    avoid: &BTreeSet::new(),
+                    avoid: &none,
                     ..self.demand(&sites, id, position, &rank, now)
                 };
                 if sites.iter().all(|site| demand.times(site, &site.capacity) == 0)
@@ -250,6 +254,10 @@
                 }
             }
         }
+        let permit = match job.queue.as_ref().and_then(|queue| queue.advice) {
+            Some(_) => Permit::Ticket(job.tickets.get(&(unit.occurrence, unit.step)), now + TRANSIT_MS),
+            None => Permit::Free,
+        };
         let mut demand = Demand {
             need: job.need(position),
             count: unit.size,
@@ -260,7 +268,7 @@
             spread: step.spread,
             peers,
             avoid: &unit.avoid,
-            tickets: self.tickets(id, (unit.occurrence, unit.step), now),
+            permit,
             urgent: rank.is_urgent(),
             least_speed: 0.0,
             ends_at: now + job.expected_ms(step, &self.works) as u64,
--- a/src/dispatch/site.rs
+++ b/src/dispatch/site.rs
@@ -9,6 +9,8 @@
 pub struct Site {
     /// Name.
     pub name: Arc<str>,
+    /// Life of the endpoint.
+    pub born: u64,
     /// Rack.
     pub rack: Option<Arc<str>>,
     /// Labels.
