--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -167,11 +167,12 @@
         }
         if unit.state == UnitState::Active {
             self.counts.add_end(why);
-            unit.state = UnitState::Terminating;
             unit.given_up_at = now;
             unit.given_up_why = why;
             log::info!(job:% = id, unit = position, run = unit.run, why; "run of unit given up");
+            job.set_state(position, UnitState::Terminating);
         }
+        let unit = &mut job.units[position];
         let mut dropped = Vec::new();
         for (index, member) in unit.members.iter_mut().enumerate() {
             match member.state {
@@ -192,6 +193,7 @@
             }
         }
         self.dirty.insert(Arc::clone(id));
+        self.expect_end_now(id, position, now);
         for index in dropped {
             self.member_gone(id, position, index, why, now);
         }
@@ -230,8 +232,8 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let unit = &mut job.units[position];
         if unit.state == UnitState::Terminating && unit.all_gone() {
-            unit.state = UnitState::Waiting;
             unit.members.clear();
+            job.set_state(position, UnitState::Waiting);
         }
         self.remove_if_settled(id);
     }
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -1,11 +1,14 @@
 //! State of the dispatcher and the events that change it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::dirty_queue::DirtyQueue;
 use super::endpoint::PlacedRun;
 use super::incarnation::LATE_ORDER_MAX_MS;
+use super::pool_view::PoolView;
 use super::preempt::Claim;
+use super::reservation::Reservation;
 use super::{Counts, Effect, Endpoint, Hold, Job, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates};
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::port::{EndpointEntry, Resources, SiteConfig};
@@ -18,7 +21,7 @@
     pub(super) jobs: BTreeMap<Arc<str>, Job>,
     pub(super) endpoints: BTreeMap<Arc<str>, Endpoint>,
     /// Jobs whose state has changed since it was last stored.
-    pub(super) dirty: BTreeSet<Arc<str>>,
+    pub(super) dirty: DirtyQueue,
     /// Starts held back until the record of their job is stored.
     pub(super) starts: Vec<Start>,
     pub(super) effects: Vec<Effect>,
@@ -28,12 +31,20 @@
     pub(super) dropped_endpoints: BTreeMap<Arc<str>, u64>,
     /// Resources claimed for urgent units, by job and position of the unit.
     pub(super) claims: BTreeMap<(Arc<str>, usize), Claim>,
+    /// Earliest time at which victims are looked for again, in milliseconds.
+    pub(super) claims_due: u64,
+    /// Endpoints reserved for blocked gangs in the last round, by job and position of the unit.
+    pub(super) reservations: BTreeMap<(Arc<str>, usize), Reservation>,
     /// Speeds learned by a former leader for endpoints that have not been listed yet, by name and incarnation.
     pub(super) restored_speeds: BTreeMap<(Arc<str>, u64), SpeedEstimate>,
     /// Learned work of tasks, by queue.
     pub(super) work_estimates: WorkEstimates,
     /// Logarithm of the speed of a typical endpoint.
     pub(super) typical_log_speed: f64,
+    /// Snapshots of the last round, by pool.
+    pub(super) pool_views: BTreeMap<Arc<str>, PoolView>,
+    /// Increases whenever an endpoint is added, is removed, or changes what it offers.
+    pub(super) list_revision: u64,
     /// Set when something changed that may let a waiting unit start.
     pub(super) changed: bool,
     /// Number of unanswered advice requests.
@@ -65,15 +76,19 @@
             config: Arc::default(),
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
-            dirty: BTreeSet::new(),
+            dirty: DirtyQueue::default(),
             starts: Vec::new(),
             effects: Vec::new(),
             fence: 0,
             dropped_endpoints: BTreeMap::new(),
             claims: BTreeMap::new(),
+            claims_due: 0,
+            reservations: BTreeMap::new(),
             work_estimates: WorkEstimates::default(),
             typical_log_speed: 0.0,
             restored_speeds: BTreeMap::new(),
+            pool_views: BTreeMap::new(),
+            list_revision: 0,
             changed: true,
             advice_in_flight: 0,
             counts: Counts::default(),
@@ -136,6 +151,9 @@
         let leases_end_at = self.took_over_at + self.tuning.leader_lease_ms + self.longest_lease_ms();
         let fence = self.fence;
         let need: Vec<Resources> = (0..job.units.len()).map(|unit| job.need(unit)).collect();
+        if job.units.iter().any(|unit| !unit.members.is_empty()) {
+            self.list_revision += 1;
+        }
         for (position, unit) in job.units.iter().enumerate() {
             for (index, member) in unit.members.iter().enumerate() {
                 let endpoint = self.endpoints.entry(Arc::clone(&member.endpoint)).or_insert_with(|| {
@@ -148,6 +166,7 @@
                     unit: position,
                     member: index,
                     room: need[position],
+                    ends_at: now,
                 };
                 // A start of the former leader may still be on its way to a later incarnation, whose clock began anew.
                 let late_ms = if member.born < endpoint.entry.born {
@@ -182,13 +201,13 @@
 
     /// Applies a new list entry of an endpoint; `None` if the entry was removed.
     pub fn update_endpoint(&mut self, name: &Arc<str>, entry: Option<EndpointEntry>, now: u64) {
-        self.changed = true;
         let Some(entry) = entry else {
             if let Some(endpoint) = self.endpoints.get_mut(name) {
                 if endpoint.listed {
                     log::info!(endpoint:% = name, runs = endpoint.runs.len(); "endpoint removed from the list");
                 }
                 endpoint.listed = false;
+                self.changed = true;
             }
             return;
         };
@@ -203,6 +222,8 @@
             endpoint.leaves_at = leaves_at;
             endpoint.speed_estimate = speed_estimate.unwrap_or_default();
             self.endpoints.insert(Arc::clone(name), endpoint);
+            self.list_revision += 1;
+            self.changed = true;
             return;
         };
         if endpoint.entry.born == entry.born || endpoint.entry.born == 0 {
@@ -210,8 +231,13 @@
                 log::info!(endpoint:% = name, remaining_ms:? = entry.remaining_ms; "endpoint is draining");
             }
             endpoint.leaves_at = entry.remaining_ms.map(|remaining| now.saturating_add(remaining));
-            endpoint.entry = entry;
-            endpoint.listed = true;
+            // Endpoints write their entries again with each heartbeat, mostly unchanged.
+            if endpoint.entry != entry || !endpoint.listed {
+                endpoint.entry = entry;
+                endpoint.listed = true;
+                self.list_revision += 1;
+                self.changed = true;
+            }
             return;
         }
         if entry.born < endpoint.entry.born {
@@ -255,6 +281,12 @@
         Some(until)
     }
 
+    /// Whether an endpoint lists ends whose consequences are not stored yet; it lists them again until they are.
+    pub fn has_unstored_ends(&self, name: &str) -> bool {
+        let endpoint = self.endpoints.get(name);
+        endpoint.is_some_and(|endpoint| endpoint.last_end > endpoint.last_end_stored)
+    }
+
     /// Returns the counts since the last call and resets them.
     pub fn take_counts(&mut self) -> Counts {
         std::mem::take(&mut self.counts)
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -1,6 +1,6 @@
 //! State of an endpoint: its runs, the bounds of their leases, and its health.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +37,8 @@
     pub member: usize,
     /// Resources that it takes.
     pub room: Resources,
+    /// When its unit is expected to end, in milliseconds, as of the last report about it.
+    pub ends_at: u64,
 }
 
 /// An endpoint, listed or known from stored records.
@@ -50,6 +52,9 @@
     pub clock: Option<(u64, u64)>,
     /// Number of the last end of a run that was processed.
     pub last_end: u64,
+    /// Numbers of the last ends of reports whose consequences are not stored yet, and the position in the queue of
+    /// changed jobs up to which these have to be stored.
+    pub(super) unstored_ends: VecDeque<(u64, u64)>,
     /// Number of the last end whose consequences are stored.
     pub last_end_stored: u64,
     /// Number of the last end that the endpoint has been told to forget.
@@ -95,6 +100,7 @@
             listed: true,
             clock: None,
             last_end: 0,
+            unstored_ends: VecDeque::new(),
             last_end_stored: 0,
             last_end_acked: 0,
             leases_end_at,
@@ -128,6 +134,13 @@
         }
     }
 
+    /// Sets when the unit of a run is expected to end.
+    pub fn expect_end(&mut self, task: &Arc<str>, run: u32, ends_at: u64) {
+        if let Some(placed_run) = self.runs.get_mut(&(Arc::clone(task), run)) {
+            placed_run.ends_at = ends_at;
+        }
+    }
+
     /// Resources that no run takes.
     pub fn free(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
@@ -191,6 +204,19 @@
         }
     }
 
+    /// Number of the last end whose consequences are stored once no job before `position` of the queue has changes left;
+    /// `None` if there is no further one.
+    pub(super) fn storable_end(&self, position: u64) -> Option<u64> {
+        let stored = self.unstored_ends.iter().take_while(|(_, needed)| *needed <= position);
+        stored.last().map(|(number, _)| *number)
+    }
+
+    /// Notes that the consequences of all ends up to a number are stored.
+    pub(super) fn ends_stored(&mut self, number: u64) {
+        self.last_end_stored = self.last_end_stored.max(number);
+        self.unstored_ends.retain(|(unstored, _)| *unstored > number);
+    }
+
     /// Notes that a lease of `span_ms` was granted in an order sent at `now`.
     pub fn extend_leases(&mut self, tuning: &Tuning, now: u64, span_ms: u64) {
         self.leases_end_at = self.leases_end_at.max(self.lease_bound(tuning, now, span_ms));
--- a/src/dispatch/endpoint_view.rs
+++ b/src/dispatch/endpoint_view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::Endpoint;
 use crate::port::Resources;
 
 /// What a placement knows of an endpoint that accepts new work. Decisions of the round are booked in it as they are
@@ -31,6 +32,31 @@
 }
 
 impl EndpointView {
+    /// View of an endpoint with all of its resources free.
+    pub(super) fn new(name: &Arc<str>, endpoint: &Endpoint) -> Self {
+        Self {
+            name: Arc::clone(name),
+            born: endpoint.entry.born,
+            rack: endpoint.entry.rack.clone(),
+            labels: endpoint.entry.labels.clone(),
+            capacity: endpoint.entry.capacity,
+            free: endpoint.entry.capacity,
+            terminating: Resources::default(),
+            claimed: Resources::default(),
+            speed: 0.0,
+            reserved_from: 0,
+        }
+    }
+
+    /// Brings what runs change up to date, without claims and reservations.
+    pub(super) fn update(&mut self, endpoint: &Endpoint, typical_log_speed: f64) {
+        self.free = endpoint.free();
+        self.terminating = Resources::default();
+        self.claimed = Resources::default();
+        self.speed = endpoint.speed_estimate.smoothed(typical_log_speed).exp();
+        self.reserved_from = 0;
+    }
+
     /// Resources that are neither used nor claimed.
     pub fn available(&self) -> Resources {
         self.free.minus(&self.claimed)
--- a/src/dispatch/evacuate.rs
+++ b/src/dispatch/evacuate.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use super::round::remaining_ms;
 use super::{Dispatcher, UnitState};
 
 /// Factor by which the estimated time of a run without checkpoints may exceed the time that its endpoint stays.
@@ -29,7 +30,7 @@
                     continue;
                 }
                 let step = job.step(placed_run.unit);
-                let left = self.remaining_ms(job, placed_run.unit, now);
+                let left = remaining_ms(job, placed_run.unit, &self.work_estimates, now);
                 let stops = if step.lasting {
                     true
                 } else if step.checkpoints {
--- a/src/dispatch/incarnation.rs
+++ b/src/dispatch/incarnation.rs
@@ -35,6 +35,8 @@
         fresh.runs = old.runs;
         let runs = fresh.runs.clone();
         self.endpoints.insert(Arc::clone(name), fresh);
+        self.list_revision += 1;
+        self.changed = true;
         for placed_run in runs.into_values() {
             self.move_to_incarnation(&placed_run, born, now);
         }
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::unit_index::UnitIndex;
 use super::{AdviceTickets, StepSpeeds, Unit, UnitState, WorkEstimates};
 use crate::graph::{JobRecord, Phase, Step, Submission, TaskName};
 use crate::port::{Queue, Resources};
@@ -22,6 +23,8 @@
     pub queue: Option<Arc<Queue>>,
     /// Units of all occurrences, in the order of occurrences and steps.
     pub units: Vec<Unit>,
+    /// Positions of the units by state.
+    pub(super) index: UnitIndex,
     /// Phase that callers see.
     pub phase: Phase,
     /// Speed measurements of each step.
@@ -30,6 +33,8 @@
     pub tickets: BTreeMap<(u32, usize), AdviceTickets>,
     /// The submission has been stored along with the record.
     pub submission_stored: bool,
+    /// Phase as last stored; `None` if none is known to be.
+    pub(super) stored_phase: Option<Phase>,
     /// Its final phase is known to be stored.
     pub end_stored: bool,
     /// Since when units of an occurrence and step have been waiting although twice the resources that they need are
@@ -73,16 +78,24 @@
             step_speeds: vec![StepSpeeds::default(); submission.graph.steps.len()],
             submission,
             queue: None,
+            index: UnitIndex::new(&units),
             units,
             phase,
             tickets: BTreeMap::new(),
             submission_stored: record.is_some(),
+            stored_phase: record.map(|_| phase),
             end_stored: false,
             idle_since: BTreeMap::new(),
             accepted_at: now.saturating_sub(age_ms),
         }
     }
 
+    /// Changes the state of a unit.
+    pub(super) fn set_state(&mut self, position: usize, state: UnitState) {
+        self.index.update(position, &self.units[position], state);
+        self.units[position].state = state;
+    }
+
     /// Step of a unit.
     pub fn step(&self, unit: usize) -> &Step {
         &self.submission.graph.steps[self.units[unit].step]
@@ -134,18 +147,9 @@
             return false;
         }
         let after = &self.step(unit).after;
-        if after.is_empty() {
-            return true;
-        }
-        for other in &self.units {
-            if other.occurrence != waiting.occurrence || other.state == UnitState::Done {
-                continue;
-            }
-            if after.contains(&(other.step as u32)) {
-                return false;
-            }
-        }
-        true
+        after
+            .iter()
+            .all(|step| self.index.is_step_done(waiting.occurrence, *step as usize))
     }
 
     /// State to store.
--- a/src/dispatch/persist.rs
+++ b/src/dispatch/persist.rs
@@ -3,42 +3,54 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use prost::Message;
+
 use super::{
     Dispatcher, Effect, JobWrite, Learned, LearnedSpeed, LearnedWork, MemberState, Snapshot, SpeedEstimate, WorkStats,
 };
 use crate::graph::Phase;
 
-/// Most jobs in one transaction. Each takes up to three rows, and a transaction may contain 100.
-const JOBS_PER_COMMIT: usize = 30;
+/// Most rows of jobs in one transaction. A transaction may contain 100, among them up to five others.
+const ROWS_PER_COMMIT: usize = 90;
+
+/// Most rows that one job takes: submission, record and phase.
+const ROWS_PER_JOB: usize = 3;
+
+/// Size of the records in one transaction from which no further job is added, in bytes. A transaction may contain 1 MB.
+const RECORD_BYTES_PER_COMMIT: usize = 256 * 1024;
 
 impl Dispatcher {
     /// Next changes to store, up to the limit of a transaction; `None` if there are none.
     pub fn snapshot(&mut self) -> Option<Snapshot> {
         let mut snapshot = Snapshot::default();
-        while snapshot.jobs.len() < JOBS_PER_COMMIT {
-            let Some(id) = self.dirty.pop_first() else { break };
+        let (mut rows, mut bytes) = (0, 0);
+        while rows + ROWS_PER_JOB <= ROWS_PER_COMMIT && bytes < RECORD_BYTES_PER_COMMIT {
+            let Some((position, id)) = self.dirty.pop_first() else {
+                break;
+            };
             let Some(job) = self.jobs.get(&id) else { continue };
-            snapshot.jobs.push(JobWrite {
+            let write = JobWrite {
                 submission: (!job.submission_stored).then(|| job.submission.clone()),
                 record: job.record(),
                 phase: job.phase,
+                phase_changed: job.stored_phase != Some(job.phase),
+                position,
                 team: job.submission.team.clone(),
                 id,
-            });
+            };
+            rows += 1 + usize::from(write.phase_changed) + usize::from(write.submission.is_some());
+            bytes += write.record.encoded_len();
+            snapshot.jobs.push(write);
         }
         let (ready, waiting) = std::mem::take(&mut self.starts)
             .into_iter()
             .partition(|start| !self.dirty.contains(&start.job));
         snapshot.starts = ready;
         self.starts = waiting;
-        snapshot.complete = self.dirty.is_empty();
-        if snapshot.complete {
-            for (name, endpoint) in &self.endpoints {
-                if endpoint.last_end > endpoint.last_end_stored {
-                    snapshot
-                        .last_ends
-                        .push((Arc::clone(name), endpoint.entry.born, endpoint.last_end));
-                }
+        let stored_up_to = self.dirty.start();
+        for (name, endpoint) in &self.endpoints {
+            if let Some(end) = endpoint.storable_end(stored_up_to) {
+                snapshot.last_ends.push((Arc::clone(name), endpoint.entry.born, end));
             }
         }
         snapshot.raises_fence = self.endpoints.values().any(|endpoint| endpoint.fence.is_none());
@@ -80,7 +92,7 @@
                 .get_mut(&name)
                 .filter(|endpoint| endpoint.entry.born == born)
             {
-                endpoint.last_end_stored = endpoint.last_end_stored.max(seen);
+                endpoint.ends_stored(seen);
             }
         }
         for write in snapshot.jobs {
@@ -88,6 +100,7 @@
                 continue;
             };
             job.submission_stored |= write.submission.is_some();
+            job.stored_phase = Some(write.phase);
             job.end_stored |= write.phase.is_final();
             self.remove_if_settled(&write.id);
         }
@@ -96,7 +109,7 @@
     /// Applies the failed commit of a snapshot: its changes become part of the next one.
     pub fn store_failed(&mut self, snapshot: Snapshot) {
         for write in snapshot.jobs {
-            self.dirty.insert(write.id);
+            self.dirty.restore(write.id, write.position);
         }
         for start in snapshot.starts {
             self.dirty.insert(Arc::clone(&start.job));
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -4,7 +4,8 @@
 //! if empty. A single task that is not urgent takes slow and partly used endpoints first, so that fast and empty ones
 //! stay free for gangs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use super::EndpointView;
@@ -43,6 +44,30 @@
     pub ends_at: u64,
 }
 
+/// Endpoints to avoid for a unit that has failed nowhere.
+pub(super) static AVOID_NONE: BTreeSet<Arc<str>> = BTreeSet::new();
+
+impl<'a> Demand<'a> {
+    /// A demand for one task that depends only on the endpoint and what is free there; `rack` is the only one allowed.
+    pub fn one_task(need: Resources, min_speed: f64, label: &'a str, rack: Option<&'a str>) -> Self {
+        Self {
+            need,
+            count: 1,
+            adjacent: false,
+            label,
+            rack: rack.unwrap_or_default(),
+            rack_local_only: rack.is_some(),
+            per_endpoint_max: 0,
+            placed_per_endpoint: BTreeMap::new(),
+            avoid: &AVOID_NONE,
+            permit: Permit::Unrestricted,
+            urgent: false,
+            min_speed,
+            ends_at: 0,
+        }
+    }
+}
+
 impl Demand<'_> {
     /// Number of tasks that fit into `free` resources of an endpoint, or 0 without a valid ticket where one is needed.
     pub fn allowed_tasks(&self, view: &EndpointView, free: &Resources) -> u32 {
@@ -61,26 +86,26 @@
         if self.rack_local_only && !self.rack.is_empty() && !view.is_in_rack(self.rack) {
             return 0;
         }
-        let mut limit = self.count;
-        if self.per_endpoint_max > 0 {
-            limit = limit.min(
-                self.per_endpoint_max
-                    .saturating_sub(self.placed_per_endpoint.get(&view.name).copied().unwrap_or(0)),
-            );
+        free.fit_count(&self.need, self.limit_on(view).min(self.count))
+    }
+
+    /// Most further tasks of the step on an endpoint.
+    fn limit_on(&self, view: &EndpointView) -> u32 {
+        if self.per_endpoint_max == 0 {
+            return u32::MAX;
         }
-        free.fit_count(&self.need, limit)
+        self.per_endpoint_max
+            .saturating_sub(self.placed_per_endpoint.get(&view.name).copied().unwrap_or(0))
     }
 
     /// The same demand without preferences: any rack, any speed, endpoints on which it failed, and endpoints with a
     /// reservation that it would delay.
-    pub fn without_preferences<'b>(&self, none: &'b BTreeSet<Arc<str>>) -> Demand<'b>
-    where
-        Self: 'b,
-    {
+    #[must_use]
+    pub fn without_preferences(&self) -> Self {
         Demand {
             adjacent: false,
             rack_local_only: false,
-            avoid: none,
+            avoid: &AVOID_NONE,
             min_speed: 0.0,
             ends_at: 0,
             ..self.clone()
@@ -88,13 +113,16 @@
     }
 
     /// Whether twice the number of tasks would fit into the available resources.
-    pub fn fits_twice(&self, views: &[EndpointView]) -> bool {
+    pub fn fits_twice(&self, views: &PoolView) -> bool {
         let twice = Demand {
             count: 2 * self.count,
             ..self.clone()
         };
+        if !twice.may_fit(views) {
+            return false;
+        }
         let mut allowed = 0;
-        for view in views {
+        for view in views.iter() {
             allowed += twice.allowed_tasks(view, &view.available());
             if allowed >= twice.count {
                 return true;
@@ -103,6 +131,16 @@
         false
     }
 
+    /// Whether slow endpoints are excluded.
+    fn is_fast_only(&self, views: &PoolView) -> bool {
+        self.min_speed > 0.0 && self.min_speed >= views.slow_below()
+    }
+
+    /// Whether the unit may fit into what is available; `false` is certain.
+    pub fn may_fit(&self, views: &PoolView) -> bool {
+        views.may_fit(self.need.accelerators, self.count, self.is_fast_only(views))
+    }
+
     /// Number of tasks that may start on an endpoint now without delaying a reservation.
     fn allowed_tasks_now(&self, view: &EndpointView) -> u32 {
         if view.reserved_from > 0 && self.ends_at > view.reserved_from {
@@ -115,6 +153,9 @@
 /// Chooses an endpoint for each member by index; `None` if the unit does not fit now.
 pub(super) fn place(views: &PoolView, demand: &Demand<'_>) -> Option<Vec<usize>> {
     let slow_below = views.slow_below();
+    if !demand.may_fit(views) {
+        return None;
+    }
     if demand.count == 1 {
         return place_single(views, demand, slow_below).map(|index| vec![index]);
     }
@@ -123,11 +164,20 @@
         return fill_group(views, demand, &all, slow_below).map(|(_, chosen)| chosen);
     }
     let mut best: Option<((bool, u64), Vec<usize>)> = None;
-    for group in views.racks() {
-        let Some((slow, chosen)) = fill_group(views, demand, group, slow_below) else {
+    for (index, rack) in views.racks().iter().enumerate() {
+        if !views.may_fit_rack(
+            index,
+            demand.need.accelerators,
+            demand.count,
+            demand.is_fast_only(views),
+        ) {
+            continue;
+        }
+        let Some((slow, chosen)) = fill_group(views, demand, &rack.members, slow_below) else {
             continue;
         };
-        let free_accelerators = group
+        let free_accelerators = rack
+            .members
             .iter()
             .map(|index| views[*index].free.accelerators)
             .fold(0, u64::saturating_add);
@@ -141,14 +191,12 @@
 }
 
 fn place_single(views: &[EndpointView], demand: &Demand<'_>, slow_below: f64) -> Option<usize> {
-    let mut best: Option<((bool, bool, u64, u64), usize)> = None;
+    let mut best: Option<(SingleRank, usize)> = None;
     for (index, view) in views.iter().enumerate() {
         if demand.allowed_tasks_now(view) == 0 {
             continue;
         }
-        let far = !demand.rack.is_empty() && !view.is_in_rack(demand.rack);
-        let slow = view.speed < slow_below;
-        let rank = (far, slow == demand.urgent, view.free.accelerators, view.free.memory_mb);
+        let rank = single_rank(view, &view.free, demand, slow_below);
         if best.as_ref().is_some_and(|(found, _)| *found <= rank) {
             continue;
         }
@@ -157,6 +205,58 @@
     best.map(|(_, index)| index)
 }
 
+/// Order in which endpoints are taken for a single task.
+type SingleRank = (bool, bool, u64, u64);
+
+fn single_rank(view: &EndpointView, free: &Resources, demand: &Demand<'_>, slow_below: f64) -> SingleRank {
+    let far = !demand.rack.is_empty() && !view.is_in_rack(demand.rack);
+    let slow = view.speed < slow_below;
+    (far, slow == demand.urgent, free.accelerators, free.memory_mb)
+}
+
+/// Chooses endpoints for units with the same demand, as many as fit one after another. More than one unit must be single
+/// tasks.
+pub(super) fn place_alike(views: &PoolView, demand: &Demand<'_>, units: &[usize]) -> Vec<(usize, Vec<usize>)> {
+    let units = units.iter().copied();
+    if units.len() <= 1 {
+        let chosen = place(views, demand);
+        return units.zip(chosen).collect();
+    }
+    let chosen = place_singles(views, demand, units.len());
+    units.zip(chosen.into_iter().map(|index| vec![index])).collect()
+}
+
+/// Chooses endpoints for up to `most` single tasks with the same demand: those that [`place`] would choose for one after
+/// another.
+fn place_singles(views: &PoolView, demand: &Demand<'_>, most: usize) -> Vec<usize> {
+    let mut chosen = Vec::new();
+    if !demand.may_fit(views) {
+        return chosen;
+    }
+    let slow_below = views.slow_below();
+    let mut candidates: BinaryHeap<Reverse<(SingleRank, usize)>> = BinaryHeap::new();
+    for (index, view) in views.iter().enumerate() {
+        if demand.allowed_tasks_now(view) > 0 {
+            candidates.push(Reverse((single_rank(view, &view.free, demand, slow_below), index)));
+        }
+    }
+    let mut booked: BTreeMap<usize, (EndpointView, u32)> = BTreeMap::new();
+    while chosen.len() < most {
+        let Some(Reverse((_, index))) = candidates.pop() else {
+            break;
+        };
+        chosen.push(index);
+        let (view, tasks) = booked.entry(index).or_insert_with(|| (views[index].clone(), 0));
+        view.free = view.free.minus(&demand.need);
+        *tasks += 1;
+        let limit = demand.limit_on(view);
+        if demand.allowed_tasks_now(view) > 0 && *tasks < limit {
+            candidates.push(Reverse((single_rank(view, &view.free, demand, slow_below), index)));
+        }
+    }
+    chosen
+}
+
 /// Fills the endpoints of a group, fast ones first and then those with the fewest free accelerators. Returns whether a
 /// slow one was needed, and the endpoint of each member.
 fn fill_group(
@@ -195,8 +295,9 @@
 
 /// Whether some rack could hold the unit if the rack were empty.
 pub(super) fn fits_one_rack(views: &PoolView, demand: &Demand<'_>) -> bool {
-    for group in views.racks() {
-        let allowed: u32 = group
+    for rack in views.racks() {
+        let allowed: u32 = rack
+            .members
             .iter()
             .map(|index| demand.allowed_tasks(&views[*index], &views[*index].capacity))
             .sum();
--- a/src/dispatch/pool_view.rs
+++ b/src/dispatch/pool_view.rs
@@ -1,58 +1,140 @@
 //! Snapshot of a pool for one scheduling round.
 
 use std::collections::BTreeMap;
-use std::ops::{Deref, DerefMut};
+use std::ops::Deref;
 use std::sync::Arc;
 
 use super::EndpointView;
+use super::free_counts::FreeCounts;
 use crate::port::Resources;
 
 /// Fraction of the best speed below which an endpoint counts as slow; speeds within a pool differ by factors of 2 to 4.
 const SLOW_SHARE: f64 = 0.55;
 
-/// The endpoints of a pool that accept new work.
+/// Endpoints of a rack, and how many accelerators they have available.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Rack {
+    /// Indices of the endpoints, in ascending order.
+    pub members: Vec<usize>,
+    counts: FreeCounts,
+    fast_counts: FreeCounts,
+}
+
+/// The endpoints of a pool that accept new work, ordered by name.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PoolView {
     views: Vec<EndpointView>,
-    racks: Vec<Vec<usize>>,
+    racks: Vec<Rack>,
+    /// Index of the rack of each endpoint.
+    rack_of: Vec<usize>,
+    counts: FreeCounts,
+    fast_counts: FreeCounts,
     slow_below: f64,
     idle: bool,
+    /// Revision of the list of endpoints from which it was made.
+    pub revision: u64,
 }
 
 impl PoolView {
-    /// Groups endpoints by rack; those without a rack form one group.
-    pub fn new(views: Vec<EndpointView>) -> Self {
-        let mut racks: BTreeMap<Option<Arc<str>>, Vec<usize>> = BTreeMap::new();
+    /// Groups endpoints, which are ordered by name, by rack; those without a rack form one group.
+    pub fn new(views: Vec<EndpointView>, revision: u64) -> Self {
+        let mut racks: BTreeMap<Option<Arc<str>>, Rack> = BTreeMap::new();
         for (index, view) in views.iter().enumerate() {
-            racks.entry(view.rack.clone()).or_default().push(index);
+            racks.entry(view.rack.clone()).or_default().members.push(index);
         }
+        let racks: Vec<Rack> = racks.into_values().collect();
+        let mut rack_of = vec![0; views.len()];
+        for (index, rack) in racks.iter().enumerate() {
+            for member in &rack.members {
+                rack_of[*member] = index;
+            }
+        }
+        let mut pool = Self {
+            views,
+            racks,
+            rack_of,
+            revision,
+            ..Self::default()
+        };
+        pool.count();
+        pool
+    }
+
+    /// The endpoints, to bring them up to date at the start of a round; [`count`](Self::count) has to follow.
+    pub fn views_mut(&mut self) -> &mut [EndpointView] {
+        &mut self.views
+    }
+
+    /// Counts what is available on all endpoints.
+    pub fn count(&mut self) {
         let (mut free, mut whole) = (Resources::default(), Resources::default());
-        for view in &views {
+        let mut best_speed: f64 = 0.0;
+        for view in &self.views {
             free = free.plus(&view.free);
             whole = whole.plus(&view.capacity);
+            best_speed = best_speed.max(view.speed);
         }
-        Self {
-            idle: free.accelerators > whole.accelerators / 2 || free.millicores > whole.millicores / 2,
-            racks: racks.into_values().collect(),
-            slow_below: views.iter().map(|view| view.speed).fold(0.0, f64::max) * SLOW_SHARE,
-            views,
+        self.idle = free.accelerators > whole.accelerators / 2 || free.millicores > whole.millicores / 2;
+        self.slow_below = best_speed * SLOW_SHARE;
+        self.counts = FreeCounts::default();
+        self.fast_counts = FreeCounts::default();
+        for rack in &mut self.racks {
+            rack.counts = FreeCounts::default();
+            rack.fast_counts = FreeCounts::default();
+        }
+        for index in 0..self.views.len() {
+            self.change_counts(index, FreeCounts::add);
+        }
+    }
+
+    fn change_counts<F>(&mut self, index: usize, change: F)
+    where
+        F: Fn(&mut FreeCounts, u64),
+    {
+        let view = &self.views[index];
+        let accelerators = view.available().accelerators;
+        let rack = &mut self.racks[self.rack_of[index]];
+        change(&mut self.counts, accelerators);
+        change(&mut rack.counts, accelerators);
+        if view.speed >= self.slow_below {
+            change(&mut self.fast_counts, accelerators);
+            change(&mut rack.fast_counts, accelerators);
         }
     }
 
-    /// Indices of the endpoints of each rack.
-    pub fn racks(&self) -> &[Vec<usize>] {
+    /// Racks.
+    pub fn racks(&self) -> &[Rack] {
         &self.racks
     }
 
     /// Groups of endpoints that may hold a unit: the racks for an adjacent unit, otherwise the whole pool.
     pub fn groups(&self, adjacent: bool) -> Vec<Vec<usize>> {
         if adjacent {
-            self.racks.clone()
+            self.racks.iter().map(|rack| rack.members.clone()).collect()
         } else {
             vec![(0..self.views.len()).collect()]
         }
     }
 
+    /// Index of the endpoint with a name.
+    pub fn index_of(&self, name: &str) -> Option<usize> {
+        self.views.binary_search_by(|view| (*view.name).cmp(name)).ok()
+    }
+
+    /// Whether `count` tasks with that many accelerators each may fit into what is available, on fast endpoints only if
+    /// `fast`; `false` is certain.
+    pub fn may_fit(&self, accelerators: u64, count: u32, fast: bool) -> bool {
+        let counts = if fast { &self.fast_counts } else { &self.counts };
+        counts.may_fit(accelerators, count)
+    }
+
+    /// The same within the rack at `index`.
+    pub fn may_fit_rack(&self, index: usize, accelerators: u64, count: u32, fast: bool) -> bool {
+        let rack = &self.racks[index];
+        let counts = if fast { &rack.fast_counts } else { &rack.counts };
+        counts.may_fit(accelerators, count)
+    }
+
     /// Whether more than half of the accelerators, or of the processor share, is free.
     pub fn is_idle(&self) -> bool {
         self.idle
@@ -62,6 +144,36 @@
     pub fn slow_below(&self) -> f64 {
         self.slow_below
     }
+
+    /// Books a task that was placed on an endpoint.
+    pub fn take(&mut self, index: usize, need: &Resources) {
+        self.change_counts(index, FreeCounts::remove);
+        let view = &mut self.views[index];
+        view.free = view.free.minus(need);
+        self.change_counts(index, FreeCounts::add);
+    }
+
+    /// Sets the resources of some tasks aside on an endpoint, or releases them.
+    pub fn claim(&mut self, index: usize, need: &Resources, tasks: u32, release: bool) {
+        self.change_counts(index, FreeCounts::remove);
+        let view = &mut self.views[index];
+        for _ in 0..tasks {
+            view.claimed = if release {
+                view.claimed.minus(need)
+            } else {
+                view.claimed.plus(need)
+            };
+        }
+        self.change_counts(index, FreeCounts::add);
+    }
+
+    /// Reserves an endpoint from `start_at` on, unless it is reserved from an earlier time.
+    pub fn reserve(&mut self, index: usize, start_at: u64) {
+        let view = &mut self.views[index];
+        if view.reserved_from == 0 || view.reserved_from > start_at {
+            view.reserved_from = start_at;
+        }
+    }
 }
 
 impl Deref for PoolView {
@@ -71,9 +183,3 @@
         &self.views
     }
 }
-
-impl DerefMut for PoolView {
-    fn deref_mut(&mut self) -> &mut [EndpointView] {
-        &mut self.views
-    }
-}
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::Dispatcher;
 use super::job::core_equivalents;
 use super::place::Demand;
 use super::pool_view::PoolView;
-use super::victim_search::{self, Victim};
-use super::{Dispatcher, EndpointView, UnitState};
+use super::round_cache::RoundCache;
+use super::victim_table::{Plan, Victim, VictimTable};
 use crate::port::Resources;
 
 /// Resources that are kept for an urgent unit while its victims stop.
@@ -25,6 +26,17 @@
     pub since: u64,
 }
 
+/// A claim that may be made.
+#[derive(Debug)]
+pub(super) struct ClaimPlan {
+    claim: Claim,
+    /// Tasks on each endpoint and victims, by their indices in the table of victims.
+    plan: Plan,
+    /// Work that would be lost, in core-seconds.
+    pub cost: f64,
+    include_borrowers: bool,
+}
+
 impl Dispatcher {
     /// Accelerators that the urgent jobs of each team hold or demand.
     pub(super) fn urgent_accelerators(&self) -> BTreeMap<Arc<str>, u64> {
@@ -68,12 +80,15 @@
         views: &PoolView,
         demand: &Demand<'_>,
         include_borrowers: bool,
+        cache: &mut RoundCache,
         now: u64,
-    ) -> Option<(Claim, Vec<Victim>)> {
-        let mut victims = self.victims(views, include_borrowers, now);
-        let (tasks, chosen) = victim_search::plan(views, &victims, demand)?;
+    ) -> Option<ClaimPlan> {
+        let table = self.victim_table(views, include_borrowers, cache, now);
+        let plan = table.plan(views, demand)?;
+        let cost = table.cost(&plan.1);
         let claim = Claim {
-            tasks_by_endpoint: tasks
+            tasks_by_endpoint: plan
+                .0
                 .iter()
                 .map(|(index, times)| (Arc::clone(&views[*index].name), *times))
                 .collect(),
@@ -82,12 +97,34 @@
             min_speed: demand.min_speed,
             since: now,
         };
-        let mut index = 0;
-        victims.retain(|_| {
-            index += 1;
-            chosen.contains(&(index - 1))
-        });
-        Some((claim, victims))
+        Some(ClaimPlan {
+            claim,
+            plan,
+            cost,
+            include_borrowers,
+        })
+    }
+
+    /// Units that may be stopped for an urgent one; see [`plan_claim`](Self::plan_claim).
+    fn victim_table<'c>(
+        &self,
+        views: &PoolView,
+        include_borrowers: bool,
+        cache: &'c mut RoundCache,
+        now: u64,
+    ) -> &'c mut VictimTable {
+        if include_borrowers {
+            let urgent_accelerators = cache
+                .urgent_accelerators
+                .get_or_insert_with(|| self.urgent_accelerators());
+            cache
+                .with_borrowers
+                .get_or_insert_with(|| VictimTable::new(views, self.victims(views, Some(urgent_accelerators), now)))
+        } else {
+            cache
+                .victims
+                .get_or_insert_with(|| VictimTable::new(views, self.victims(views, None, now)))
+        }
     }
 
     /// Makes a claim for an urgent unit and stops its victims.
@@ -96,47 +133,53 @@
         id: &Arc<str>,
         position: usize,
         views: &mut PoolView,
-        claim: Claim,
-        victims: Vec<Victim>,
+        found: ClaimPlan,
+        cache: &mut RoundCache,
         now: u64,
     ) {
-        apply_claim(views, &claim, false);
-        self.claims.insert((Arc::clone(id), position), claim);
-        for victim in victims {
-            let (job, unit) = victim.unit;
+        apply_claim(views, &found.claim, false);
+        self.claims.insert((Arc::clone(id), position), found.claim);
+        // The other table numbers its victims in another way; it is made anew if it is needed again.
+        let (table, other) = if found.include_borrowers {
+            (&mut cache.with_borrowers, &mut cache.victims)
+        } else {
+            (&mut cache.victims, &mut cache.with_borrowers)
+        };
+        *other = None;
+        let Some(table) = table else { return };
+        for index in &found.plan.1 {
+            let victim = table.victim(*index);
+            let (job, unit) = &victim.unit;
             log::info!(job:% = id, victim:% = job, unit, cost = victim.cost; "unit preempted by an urgent job");
-            self.stop_unit(&job, unit, "preempted", now);
+            self.stop_unit(job, *unit, "preempted", now);
         }
+        table.claim(views, &found.plan);
     }
 
-    /// Units that may be stopped for an urgent one; see [`plan_claim`](Self::plan_claim).
-    pub(super) fn victims(&self, views: &[EndpointView], include_borrowers: bool, now: u64) -> Vec<Victim> {
-        let urgent_accelerators = if include_borrowers {
-            self.urgent_accelerators()
-        } else {
-            BTreeMap::new()
-        };
-        let index_of: BTreeMap<&Arc<str>, usize> = views
-            .iter()
-            .enumerate()
-            .map(|(index, view)| (&view.name, index))
-            .collect();
+    /// Units that may be stopped for an urgent one, among them urgent ones of teams whose urgent jobs demand more than
+    /// their guarantee if these demands are given.
+    fn victims(
+        &self,
+        views: &PoolView,
+        urgent_accelerators: Option<&BTreeMap<Arc<str>, u64>>,
+        now: u64,
+    ) -> Vec<Victim> {
         let mut victims = Vec::new();
         for (id, job) in &self.jobs {
-            if job.queue.is_none()
-                || job.is_urgent() && (!include_borrowers || self.is_guaranteed(id, &urgent_accelerators))
-            {
+            let may_stop = match urgent_accelerators {
+                Some(accelerators) => !job.is_urgent() || !self.is_guaranteed(id, accelerators),
+                None => !job.is_urgent(),
+            };
+            if job.queue.is_none() || !may_stop {
                 continue;
             }
-            for (position, unit) in job.units.iter().enumerate() {
-                if unit.state != UnitState::Active {
-                    continue;
-                }
+            for position in job.index.active.iter().copied() {
+                let unit = &job.units[position];
                 let need = job.need(position);
                 let mut rooms: BTreeMap<usize, Resources> = BTreeMap::new();
                 for member in unit.members.iter().filter(|member| member.holds_room()) {
-                    if let Some(index) = index_of.get(&member.endpoint) {
-                        let room = rooms.entry(*index).or_default();
+                    if let Some(index) = views.index_of(&member.endpoint) {
+                        let room = rooms.entry(index).or_default();
                         *room = room.plus(&need);
                     }
                 }
@@ -161,16 +204,9 @@
 
 /// Sets the resources of a claim aside on its endpoints, or releases them.
 pub(super) fn apply_claim(views: &mut PoolView, claim: &Claim, release: bool) {
-    for view in views.iter_mut() {
-        let Some(times) = claim.tasks_by_endpoint.get(&view.name) else {
-            continue;
-        };
-        for _ in 0..*times {
-            view.claimed = if release {
-                view.claimed.minus(&claim.need)
-            } else {
-                view.claimed.plus(&claim.need)
-            };
+    for (name, tasks) in &claim.tasks_by_endpoint {
+        if let Some(index) = views.index_of(name) {
+            views.claim(index, &claim.need, *tasks, release);
         }
     }
 }
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::round::remaining_ms;
 use super::{Dispatcher, Effect, Member, MemberState, Stop, UnitState};
 use crate::graph::Phase;
 use crate::port::{OrderError, Outcome, Report, RunEnd, RunningTask};
@@ -67,32 +68,42 @@
             endpoint.last_end = end.number;
             self.run_ended(name, end, now);
         }
+        let changed_up_to = self.dirty.end();
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            let noted = endpoint
+                .unstored_ends
+                .back()
+                .map_or(endpoint.last_end_stored, |(number, _)| *number);
+            if endpoint.last_end > noted {
+                endpoint.unstored_ends.push_back((endpoint.last_end, changed_up_to));
+            }
+        }
         self.reconcile(name, report, first_report, sent_at, now);
     }
 
     /// Reconciles the expected runs of an endpoint with the reported ones.
     fn reconcile(&mut self, name: &Arc<str>, report: &Report, first_report: bool, sent_at: u64, now: u64) {
-        let Some(endpoint) = self.endpoints.get(name) else {
+        let Some(endpoint) = self.endpoints.get_mut(name) else {
             return;
         };
-        let expected = endpoint.runs.clone();
         let born = endpoint.entry.born;
-        let running: BTreeMap<(Arc<str>, u32), &RunningTask> = report
-            .running
-            .iter()
-            .map(|run| ((Arc::clone(&run.task), run.run), run))
-            .collect();
-        let is_expected = |run: &&RunningTask| expected.contains_key(&(Arc::clone(&run.task), run.run));
+        let running: BTreeMap<(&str, u32), &RunningTask> =
+            report.running.iter().map(|run| ((&*run.task, run.run), run)).collect();
+        let is_expected = |run: &&RunningTask| endpoint.runs.contains_key(&(Arc::clone(&run.task), run.run));
         let unexpected: Vec<&RunningTask> = report.running.iter().filter(|run| !is_expected(run)).collect();
-        self.stop_unexpected(name, born, &unexpected);
+        let mut missing = Vec::new();
+        let mut stalled = Vec::new();
         let mut measured = Vec::new();
-        for ((task, run), placed_run) in expected {
+        for ((task, run), placed_run) in &mut endpoint.runs {
             let Some(job) = self.jobs.get_mut(&placed_run.job) else {
                 continue;
             };
-            let checkpoints = job.step(placed_run.unit).checkpoints;
-            let lasting = job.step(placed_run.unit).lasting;
-            let estimate = job.step(placed_run.unit).estimate_ms;
+            let Some(found) = running.get(&(&**task, *run)) else {
+                missing.push(placed_run.clone());
+                continue;
+            };
+            let step = job.step(placed_run.unit);
+            let (checkpoints, lasting, estimate) = (step.checkpoints, step.lasting, step.estimate_ms);
             let unit = &mut job.units[placed_run.unit];
             let is_active = unit.state == UnitState::Active;
             // A finished member waits for the slower ones of its gang, so a unit counts as stalled only as a whole.
@@ -105,19 +116,6 @@
             let Some(member) = unit.members.get_mut(placed_run.member) else {
                 continue;
             };
-            let Some(found) = running.get(&(Arc::clone(&task), run)) else {
-                // With further ends to come, its end may be among them.
-                if !report.more_ends && is_gone(member, first_report, sent_at) {
-                    self.member_gone(
-                        &placed_run.job,
-                        placed_run.unit,
-                        placed_run.member,
-                        "the endpoint does not list it",
-                        now,
-                    );
-                }
-                continue;
-            };
             if member.born != born {
                 // The record of a former leader names an earlier incarnation; the start has reached this one.
                 member.born = born;
@@ -147,9 +145,38 @@
             let stall_limit_ms = self.tuning.stall_ms.max(estimate / 20);
             if stall_checked && now.saturating_sub(progressed_at.max(member.progressed_at)) > stall_limit_ms {
                 log::warn!(task:% = task, run, endpoint:% = name, percent = member.percent; "run makes no progress");
-                self.record_failure(name, &placed_run.job, now);
-                self.stop_unit(&placed_run.job, placed_run.unit, "no progress", now);
+                stalled.push(placed_run.clone());
+            }
+            let left = remaining_ms(job, placed_run.unit, &self.work_estimates, now);
+            placed_run.ends_at = now.saturating_add(left);
+        }
+        self.stop_unexpected(name, born, &unexpected);
+        for placed_run in missing {
+            let Some(job) = self.jobs.get(&placed_run.job) else {
+                continue;
+            };
+            let Some(member) = job.units[placed_run.unit].members.get(placed_run.member) else {
+                continue;
+            };
+            // With further ends to come, its end may be among them.
+            if !report.more_ends && is_gone(member, first_report, sent_at) {
+                self.member_gone(
+                    &placed_run.job,
+                    placed_run.unit,
+                    placed_run.member,
+                    "the endpoint does not list it",
+                    now,
+                );
+            }
+        }
+        for placed_run in stalled {
+            // Another member of the unit may have stopped it.
+            let unit = self.jobs.get(&placed_run.job).map(|job| &job.units[placed_run.unit]);
+            if unit.is_none_or(|unit| unit.state != UnitState::Active) {
+                continue;
             }
+            self.record_failure(name, &placed_run.job, now);
+            self.stop_unit(&placed_run.job, placed_run.unit, "no progress", now);
         }
         for (job, step, log_ratio) in measured {
             self.learn_speed(name, &job, step, log_ratio);
@@ -258,8 +285,8 @@
     /// Notes that a unit has succeeded, and ends its job if all others have.
     pub(super) fn unit_done(&mut self, id: &Arc<str>, position: usize, now: u64) {
         let Some(job) = self.jobs.get_mut(id) else { return };
+        job.set_state(position, UnitState::Done);
         let unit = &mut job.units[position];
-        unit.state = UnitState::Done;
         // A member whose start has no answer is stopped, since a restarted endpoint would carry out a repeated start.
         for member in &mut unit.members {
             if !matches!(member.state, MemberState::Sent { .. }) {
@@ -276,6 +303,7 @@
                 run: unit.run,
             }));
         }
+        self.expect_end_now(id, position, now);
         self.claims.remove(&(Arc::clone(id), position));
         self.counts.add_end("done");
         // The endpoint may forget the end only after this is stored.
@@ -287,7 +315,7 @@
     /// Ends a job once all of its units are done.
     fn end_job_if_done(&mut self, id: &Arc<str>, now: u64) {
         let Some(job) = self.jobs.get(id) else { return };
-        if job.phase.is_final() || job.units.iter().any(|unit| unit.state != UnitState::Done) {
+        if job.phase.is_final() || !job.index.is_done() {
             return;
         }
         self.end_job(id, Phase::Done, now);
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -11,65 +11,76 @@
 use super::endpoint::PlacedRun;
 use super::job::core_equivalents;
 use super::permit::Permit;
-use super::place::{self, Demand};
+use super::place::{self, AVOID_NONE, Demand};
 use super::pool_view::PoolView;
 use super::preempt::apply_claim;
 use super::rank::Rank;
+use super::round_cache::RoundCache;
 use super::speed;
-use super::{Dispatcher, Endpoint, EndpointView, Job, Member, MemberState, Start, Unit, UnitState};
+use super::{Dispatcher, Endpoint, EndpointView, Job, Member, MemberState, Start, UnitState, WorkEstimates};
 use crate::graph::Phase;
-use crate::port::Resources;
+
+/// Number of units that may be stopped for each millisecond until they are looked at again. Bounds the share of time
+/// that the search takes on a large fleet; a fleet of some hundred endpoints is searched in each round.
+const VICTIMS_PER_MS: u64 = 200;
 
 impl Dispatcher {
-    /// Snapshot of the endpoints of a pool that accept new work.
-    pub(super) fn pool_view(&self, pool: &str, now: u64) -> PoolView {
-        let terminating = self
-            .jobs
-            .values()
-            .any(|job| job.units.iter().any(|unit| unit.state == UnitState::Terminating));
-        let mut views = Vec::new();
-        for (name, endpoint) in &self.endpoints {
-            if *endpoint.entry.pool != *pool || !endpoint.is_open(now) {
-                continue;
-            }
-            views.push(EndpointView {
-                name: Arc::clone(name),
-                born: endpoint.entry.born,
-                rack: endpoint.entry.rack.clone(),
-                labels: endpoint.entry.labels.clone(),
-                capacity: endpoint.entry.capacity,
-                free: endpoint.free(),
-                terminating: if terminating {
-                    self.terminating(endpoint, now)
-                } else {
-                    Resources::default()
-                },
-                claimed: Resources::default(),
-                speed: endpoint.speed_estimate.smoothed(self.typical_log_speed).exp(),
-                reserved_from: 0,
-            });
+    /// Snapshot of the endpoints of a pool that accept new work; keeps what has not changed since the last round.
+    fn pool_view(&mut self, pool: &Arc<str>, now: u64) -> PoolView {
+        let kept = self.pool_views.remove(pool);
+        let kept = kept.filter(|view| view.revision == self.list_revision);
+        let mut view = kept.and_then(|view| self.refresh(view, pool, now)).unwrap_or_else(|| {
+            let open = self.open_endpoints_of(pool, now);
+            let views = open.map(|(name, endpoint)| EndpointView::new(name, endpoint));
+            PoolView::new(views.collect(), self.list_revision)
+        });
+        let typical_log_speed = self.typical_log_speed;
+        let open = self.open_endpoints_of(pool, now);
+        for (view, (_, endpoint)) in view.views_mut().iter_mut().zip(open) {
+            view.update(endpoint, typical_log_speed);
+        }
+        self.add_terminating(&mut view, now);
+        view.count();
+        for claim in self.claims.values() {
+            apply_claim(&mut view, claim, false);
         }
-        PoolView::new(views)
+        view
     }
 
-    /// Resources of the runs on an endpoint that are being stopped.
-    pub(super) fn terminating(&self, endpoint: &Endpoint, now: u64) -> Resources {
-        let mut room = Resources::default();
-        for placed_run in endpoint.runs.values() {
-            let unit = self
-                .jobs
-                .get(&placed_run.job)
-                .and_then(|job| job.units.get(placed_run.unit));
-            // A stop that takes longer has failed, and nobody knows when its resources will be free.
-            let recent = |unit: &&Unit| now.saturating_sub(unit.given_up_at) < self.tuning.claim_timeout_ms;
-            if unit
-                .filter(recent)
-                .is_some_and(|unit| unit.state == UnitState::Terminating)
-            {
-                room = room.plus(&placed_run.room);
+    /// The endpoints of a pool on which work may be placed, by name.
+    fn open_endpoints_of(&self, pool: &str, now: u64) -> impl Iterator<Item = (&Arc<str>, &Endpoint)> {
+        self.endpoints
+            .iter()
+            .filter(move |(_, endpoint)| *endpoint.entry.pool == *pool && endpoint.is_open(now))
+    }
+
+    /// Returns a kept snapshot if it names the endpoints that accept work now.
+    fn refresh(&self, view: PoolView, pool: &str, now: u64) -> Option<PoolView> {
+        let mut open = self.open_endpoints_of(pool, now);
+        let same = view
+            .iter()
+            .all(|kept| open.next().is_some_and(|(name, _)| Arc::ptr_eq(name, &kept.name)));
+        (same && open.next().is_none()).then_some(view)
+    }
+
+    /// Adds the resources of the runs that are being stopped to the views of their endpoints.
+    fn add_terminating(&self, pool: &mut PoolView, now: u64) {
+        for job in self.jobs.values() {
+            for position in job.index.terminating.iter().copied() {
+                let unit = &job.units[position];
+                // A stop that takes longer has failed, and nobody knows when its resources will be free.
+                if now.saturating_sub(unit.given_up_at) >= self.tuning.claim_timeout_ms {
+                    continue;
+                }
+                let need = job.need(position);
+                for member in unit.members.iter().filter(|member| member.holds_room()) {
+                    if let Some(index) = pool.index_of(&member.endpoint) {
+                        let view = &mut pool.views_mut()[index];
+                        view.terminating = view.terminating.plus(&need);
+                    }
+                }
             }
         }
-        room
     }
 
     /// Runs a scheduling round: places waiting units in the order of their jobs' ranks.
@@ -80,73 +91,77 @@
             .retain(|_, claim| claim.since + self.tuning.claim_timeout_ms > now);
         let mut ranked: Vec<(Rank, Arc<str>)> = Vec::new();
         for (id, job) in &self.jobs {
-            if job.phase.is_final() || job.queue.is_none() {
-                continue;
-            }
-            if !job.units.iter().any(|unit| unit.state == UnitState::Waiting) {
+            if job.phase.is_final() || job.queue.is_none() || job.index.waiting.is_empty() {
                 continue;
             }
             ranked.push((Rank::of(job, &self.work_estimates, now), Arc::clone(id)));
         }
         ranked.sort_unstable();
-        let mut pools: BTreeMap<Arc<str>, PoolView> = BTreeMap::new();
-        let mut reservations = 0;
+        let mut pools: BTreeMap<Arc<str>, (PoolView, RoundCache)> = BTreeMap::new();
         for (rank, id) in ranked {
             let job = &self.jobs[&id];
             let Some(queue) = job.queue.clone() else { continue };
             if self.config.pools.get(&queue.pool).is_some_and(|pool| pool.standby) {
                 continue;
             }
-            let views = pools.remove(&queue.pool).unwrap_or_else(|| {
-                let mut views = self.pool_view(&queue.pool, now);
-                for claim in self.claims.values() {
-                    apply_claim(&mut views, claim, false);
-                }
-                views
-            });
-            let views = self.place_job(&id, rank, views, &mut reservations, now, wall_ms);
-            pools.insert(Arc::clone(&queue.pool), views);
+            let (mut views, mut cache) = pools
+                .remove(&queue.pool)
+                .unwrap_or_else(|| (self.pool_view(&queue.pool, now), RoundCache::default()));
+            self.place_job(&id, rank, &mut views, &mut cache, now, wall_ms);
+            pools.insert(Arc::clone(&queue.pool), (views, cache));
+        }
+        self.reservations.clear();
+        for (pool, (views, mut cache)) in pools {
+            if let Some(victims) = cache.victims_looked_at() {
+                self.claims_due = now + victims as u64 / VICTIMS_PER_MS;
+            }
+            self.reservations.append(&mut cache.reservations);
+            self.pool_views.insert(pool, views);
         }
     }
 
-    /// Places the units of one job as far as they fit; returns the updated snapshot of the pool.
-    pub(super) fn place_job(
+    /// Places the units of one job as far as they fit, and books them in the snapshot of the pool.
+    fn place_job(
         &mut self,
         id: &Arc<str>,
         rank: Rank,
-        mut views: PoolView,
-        reservations: &mut usize,
+        views: &mut PoolView,
+        cache: &mut RoundCache,
         now: u64,
         wall_ms: u64,
-    ) -> PoolView {
+    ) {
         // If one task of a step does not fit, the equal ones after it are not tried.
         let mut unplaceable: BTreeSet<(u32, usize)> = BTreeSet::new();
         let mut due_steps: BTreeMap<(u32, usize), bool> = BTreeMap::new();
-        let avoid_none = BTreeSet::new();
         let mut idle_steps: BTreeSet<(u32, usize)> = BTreeSet::new();
         let mut requests: BTreeMap<(u32, usize), Vec<Arc<str>>> = BTreeMap::new();
-        let units = self.jobs[id].units.len();
-        for position in 0..units {
+        let waiting: Vec<usize> = self.jobs[id].index.waiting.iter().copied().collect();
+        for (offset, position) in waiting.iter().copied().enumerate() {
             let job = &self.jobs[id];
             let unit = &job.units[position];
+            // An earlier unit of the step may have been placed together with this one.
             if unit.state != UnitState::Waiting || unit.not_before > now {
                 continue;
             }
             let step_key = (unit.occurrence, unit.step);
+            if unplaceable.contains(&step_key) {
+                continue;
+            }
             if !*due_steps
                 .entry(step_key)
                 .or_insert_with(|| job.is_due(position, wall_ms))
             {
                 continue;
             }
-            if unplaceable.contains(&step_key) {
+            let claim = self.claims.get(&(Arc::clone(id), position)).cloned();
+            if claim.is_none() && self.is_hopeless(id, position, views, cache, &rank) {
+                unplaceable.insert(step_key);
                 continue;
             }
-            let claim = self.claims.get(&(Arc::clone(id), position)).cloned();
             if let Some(claim) = &claim {
-                apply_claim(&mut views, claim, true);
+                apply_claim(views, claim, true);
             }
-            let mut demand = self.demand(&views, id, position, &rank, now);
+            let mut demand = self.demand(views, id, position, &rank, now);
             if let Some(claim) = &claim {
                 demand.adjacent = claim.adjacent;
                 demand.min_speed = claim.min_speed;
@@ -154,28 +169,33 @@
                 // On a slow endpoint it would be late and occupy its resources for longer.
                 demand.min_speed = views.slow_below();
             }
-            if let Some(chosen) = place::place(&views, &demand) {
-                self.claims.remove(&(Arc::clone(id), position));
-                self.start_unit(id, position, &mut views, &chosen, now);
+            let alike = if claim.is_none() {
+                self.units_alike(id, &waiting[offset..], now)
+            } else {
+                vec![position]
+            };
+            let chosen = place::place_alike(views, &demand, &alike);
+            if !chosen.is_empty() {
+                for (position, chosen) in chosen {
+                    self.claims.remove(&(Arc::clone(id), position));
+                    self.start_unit(id, position, views, &chosen, now);
+                }
                 continue;
             }
             if demand.permit.needs_ticket() {
                 requests
                     .entry(step_key)
-                    .or_insert_with(|| endpoints_to_ask(&views, &demand));
+                    .or_insert_with(|| endpoints_to_ask(views, &demand));
             }
             if claim.is_none()
-                && views.is_idle()
-                && let anywhere = demand.without_preferences(&avoid_none)
-                && anywhere.fits_twice(&views)
+                && let Some(idle_since) = self.idle_since(id, step_key, views, &demand, now)
             {
                 idle_steps.insert(step_key);
-                let since = job.idle_since.get(&step_key).copied().unwrap_or(now);
-                if now - since >= self.tuning.idle_pool_wait_ms
-                    && let Some(chosen) = place::place(&views, &anywhere)
+                if now - idle_since >= self.tuning.idle_pool_wait_ms
+                    && let Some(chosen) = place::place(views, &demand.without_preferences())
                 {
-                    log::info!(job:% = id, unit = position, waited_ms = now - since; "unit placed on less suitable endpoints after waiting in a half-idle pool");
-                    self.start_unit(id, position, &mut views, &chosen, now);
+                    log::info!(job:% = id, unit = position, waited_ms = now - idle_since; "unit placed on less suitable endpoints after waiting in a half-idle pool");
+                    self.start_unit(id, position, views, &chosen, now);
                     continue;
                 }
             }
@@ -184,25 +204,24 @@
             } else {
                 // If no other endpoint can ever hold the unit, those on which it failed are allowed again.
                 let relaxed = Demand {
-                    avoid: &avoid_none,
-                    ..self.demand(&views, id, position, &rank, now)
+                    avoid: &AVOID_NONE,
+                    ..self.demand(views, id, position, &rank, now)
                 };
                 if views.iter().all(|view| demand.allowed_tasks(view, &view.capacity) == 0)
-                    && let Some(chosen) = place::place(&views, &relaxed)
+                    && let Some(chosen) = place::place(views, &relaxed)
                 {
-                    self.start_unit(id, position, &mut views, &chosen, now);
+                    self.start_unit(id, position, views, &chosen, now);
                     continue;
                 }
             }
             if let Some(claim) = &claim {
-                apply_claim(&mut views, claim, false);
+                apply_claim(views, claim, false);
                 continue;
             }
             if rank.is_urgent() {
-                self.place_urgent(id, position, &mut views, &rank, now);
-            } else if demand.count > 1 && *reservations < self.tuning.reservations_max {
-                *reservations += 1;
-                self.reserve(id, position, &mut views, &rank, now);
+                self.place_urgent(id, position, views, cache, &rank, now);
+            } else if demand.count > 1 && cache.reservations.len() < self.tuning.reservations_max {
+                self.reserve(id, position, views, cache, &rank, now);
             }
         }
         for (step_key, endpoints) in requests {
@@ -214,18 +233,84 @@
                 job.idle_since.entry(step_key).or_insert(now);
             }
         }
-        views
+    }
+
+    /// Since when units of a step have been waiting beside an idle half of the pool, in milliseconds; `None` if less than
+    /// twice what the demand needs is free there.
+    fn idle_since(
+        &self,
+        id: &Arc<str>,
+        step_key: (u32, usize),
+        views: &PoolView,
+        demand: &Demand<'_>,
+        now: u64,
+    ) -> Option<u64> {
+        if !views.is_idle() || !demand.without_preferences().fits_twice(views) {
+            return None;
+        }
+        let since = self.jobs[id].idle_since.get(&step_key);
+        Some(since.copied().unwrap_or(now))
+    }
+
+    /// Whether a unit certainly fits nowhere in this round and may not claim or reserve anything, either.
+    fn is_hopeless(&self, id: &Arc<str>, position: usize, views: &PoolView, cache: &RoundCache, rank: &Rank) -> bool {
+        let job = &self.jobs[id];
+        let unit = &job.units[position];
+        if rank.is_urgent() || views.is_idle() || !unit.avoid.is_empty() {
+            return false;
+        }
+        if unit.size > 1 && cache.reservations.len() < self.tuning.reservations_max {
+            return false;
+        }
+        if job.queue.as_ref().is_some_and(|queue| queue.advice.is_some()) {
+            return false;
+        }
+        !views.may_fit(job.step(position).accelerators, unit.size, false)
+    }
+
+    /// The first of these waiting units and, if it is a single task without a failed run, those directly after it that may
+    /// run wherever it may: further such tasks of its step.
+    fn units_alike(&self, id: &Arc<str>, waiting: &[usize], now: u64) -> Vec<usize> {
+        let units = &self.jobs[id].units;
+        let first = &units[waiting[0]];
+        if first.size > 1 || !first.avoid.is_empty() {
+            return vec![waiting[0]];
+        }
+        let mut alike = Vec::new();
+        for position in waiting.iter().copied() {
+            let unit = &units[position];
+            if (unit.occurrence, unit.step) != (first.occurrence, first.step) {
+                break;
+            }
+            if unit.state != UnitState::Waiting || unit.not_before > now || !unit.avoid.is_empty() {
+                continue;
+            }
+            if !self.claims.contains_key(&(Arc::clone(id), position)) {
+                alike.push(position);
+            }
+        }
+        alike
     }
 
     /// Places an urgent unit that does not fit: preempts others, or else takes slow endpoints.
-    fn place_urgent(&mut self, id: &Arc<str>, position: usize, views: &mut PoolView, rank: &Rank, now: u64) {
+    fn place_urgent(
+        &mut self,
+        id: &Arc<str>,
+        position: usize,
+        views: &mut PoolView,
+        cache: &mut RoundCache,
+        rank: &Rank,
+        now: u64,
+    ) {
+        if now < self.claims_due {
+            return;
+        }
         let mut demand = self.demand(views, id, position, rank, now);
         demand.min_speed = views.slow_below();
         let guarantee_due = self.guarantee_is_due(id, now) && self.is_guaranteed(id, &self.urgent_accelerators());
-        let mut plan = self.plan_claim(views, &demand, false, now).filter(|(_, victims)| {
-            let cost: f64 = victims.iter().map(|victim| victim.cost).sum();
-            guarantee_due || !rank.is_late() && cost <= self.claim_limit(id, position, now)
-        });
+        let mut plan = self
+            .plan_claim(views, &demand, false, cache, now)
+            .filter(|plan| guarantee_due || !rank.is_late() && plan.cost <= self.claim_limit(id, position, now));
         demand.min_speed = 0.0;
         let slow = if plan.is_none() {
             place::place(views, &demand)
@@ -233,14 +318,14 @@
             None
         };
         if guarantee_due && plan.is_none() && slow.is_none() {
-            plan = self.plan_claim(views, &demand, true, now);
+            plan = self.plan_claim(views, &demand, true, cache, now);
             if plan.is_none() && demand.adjacent {
                 demand.adjacent = false;
-                plan = self.plan_claim(views, &demand, true, now);
+                plan = self.plan_claim(views, &demand, true, cache, now);
             }
         }
-        if let Some((claim, victims)) = plan {
-            self.preempt(id, position, views, claim, victims, now);
+        if let Some(plan) = plan {
+            self.preempt(id, position, views, plan, cache, now);
         } else if let Some(chosen) = slow {
             self.start_unit(id, position, views, &chosen, now);
         }
@@ -308,15 +393,17 @@
             .map(|index| job.task(position, index as u32))
             .collect();
         let payload = Arc::clone(&job.payload);
+        let expected_ms = job.expected_ms(job.step(position), &self.work_estimates) as u64;
+        let ends_at = now.saturating_add(expected_ms);
+        job.set_state(position, UnitState::Active);
         let unit = &mut job.units[position];
         let tickets = job.tickets.get(&(unit.occurrence, unit.step));
         unit.run += 1;
-        unit.state = UnitState::Active;
         unit.placed_at = now;
         unit.members.clear();
         for (index, (view_index, task)) in chosen.iter().zip(names).enumerate() {
-            let view = &mut views[*view_index];
-            view.free = view.free.minus(&need);
+            views.take(*view_index, &need);
+            let view = &views[*view_index];
             let Some(endpoint) = self.endpoints.get_mut(&view.name) else {
                 continue;
             };
@@ -325,6 +412,7 @@
                 unit: position,
                 member: index,
                 room: need,
+                ends_at,
             };
             endpoint.add_run(Arc::clone(&task), unit.run, placed_run);
             unit.members.push(Member {
@@ -359,57 +447,25 @@
         let priority = job.queue.as_ref().map_or(0, |queue| queue.priority);
         let step = job.step(position);
         let (saves, cores) = (step.checkpoints, core_equivalents(&need));
-        let expected_ms = job.expected_ms(step, &self.work_estimates) as u64;
         let waited_ms = now.saturating_sub(job.accepted_at);
         log::info!(job:% = id, unit = position, run, size, priority, saves, cores, expected_ms, waited_ms; "unit placed");
         self.dirty.insert(Arc::clone(id));
     }
+}
 
-    /// Reserves the endpoints on which a blocked gang can start soonest.
-    pub(super) fn reserve(&self, id: &Arc<str>, position: usize, views: &mut PoolView, rank: &Rank, now: u64) {
-        let demand = self.demand(views, id, position, rank, now);
-        let releases: Vec<Vec<(u64, Resources)>> = views.iter().map(|view| self.releases(&view.name, now)).collect();
-        let Some((start_at, chosen)) = place::earliest_start(views, &releases, &demand) else {
-            return;
-        };
-        for index in chosen {
-            let view = &mut views[index];
-            if view.reserved_from == 0 || view.reserved_from > start_at {
-                view.reserved_from = start_at.max(now + 1);
-            }
-        }
+/// Expected remaining time of a unit, in milliseconds.
+pub(super) fn remaining_ms(job: &Job, position: usize, work_estimates: &WorkEstimates, now: u64) -> u64 {
+    let unit = &job.units[position];
+    if unit.state != UnitState::Active {
+        return 0;
     }
-
-    /// Expected ends of the runs on an endpoint and the resources that each releases.
-    pub(super) fn releases(&self, name: &Arc<str>, now: u64) -> Vec<(u64, Resources)> {
-        let mut releases = Vec::new();
-        for placed_run in self.endpoints[name].runs.values() {
-            let Some(job) = self.jobs.get(&placed_run.job) else {
-                continue;
-            };
-            let unit = &job.units[placed_run.unit];
-            if unit.members.get(placed_run.member).is_none() {
-                continue;
-            }
-            let left = self.remaining_ms(job, placed_run.unit, now);
-            releases.push((now.saturating_add(left), placed_run.room));
-        }
-        releases
-    }
-    /// Expected remaining time of a unit, in milliseconds.
-    pub(super) fn remaining_ms(&self, job: &Job, position: usize, now: u64) -> u64 {
-        let unit = &job.units[position];
-        if unit.state != UnitState::Active {
-            return 0;
-        }
-        let worked = now.saturating_sub(unit.placed_at);
-        // The members of a gang end together, so the slowest one counts.
-        let percent = unit.members.iter().map(|member| member.percent).fold(100.0, f64::min);
-        if percent > 5.0 {
-            (worked as f64 * (100.0 - percent) / percent) as u64
-        } else {
-            let estimate = job.expected_ms(job.step(position), &self.work_estimates) as u64;
-            estimate.saturating_sub(worked)
-        }
+    let worked = now.saturating_sub(unit.placed_at);
+    // The members of a gang end together, so the slowest one counts.
+    let percent = unit.members.iter().map(|member| member.percent).fold(100.0, f64::min);
+    if percent > 5.0 {
+        (worked as f64 * (100.0 - percent) / percent) as u64
+    } else {
+        let estimate = job.expected_ms(job.step(position), work_estimates) as u64;
+        estimate.saturating_sub(worked)
     }
 }
--- /dev/null
+++ b/src/dispatch/round_cache.rs
@@ -0,0 +1,28 @@
+//! What a scheduling round computes at most once.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::reservation::Reservation;
+use super::victim_table::VictimTable;
+
+/// Results that several units of a round share.
+#[derive(Debug, Default)]
+pub(super) struct RoundCache {
+    /// Units that any urgent unit may stop.
+    pub victims: Option<VictimTable>,
+    /// The same with the urgent jobs of teams that exceed their guarantee.
+    pub with_borrowers: Option<VictimTable>,
+    /// Accelerators that the urgent jobs of each team hold or demand.
+    pub urgent_accelerators: Option<BTreeMap<Arc<str>, u64>>,
+    /// Endpoints reserved for blocked gangs, by job and position of the unit.
+    pub reservations: BTreeMap<(Arc<str>, usize), Reservation>,
+}
+
+impl RoundCache {
+    /// Number of units that the round has considered to stop; `None` if it has looked for none.
+    pub fn victims_looked_at(&self) -> Option<usize> {
+        let tables = self.victims.iter().chain(&self.with_borrowers);
+        tables.map(VictimTable::len).max()
+    }
+}
--- a/src/dispatch/snapshot.rs
+++ b/src/dispatch/snapshot.rs
@@ -16,6 +16,10 @@
     pub record: JobRecord,
     /// Phase that callers see.
     pub phase: Phase,
+    /// The phase differs from the stored one.
+    pub phase_changed: bool,
+    /// Position of the job in the queue of changed jobs.
+    pub(super) position: u64,
     /// Team whose callers may look the job up.
     pub team: String,
 }
@@ -31,8 +35,6 @@
     pub last_ends: Vec<(Arc<str>, u64, u64)>,
     /// Set if the commit has to raise the fencing token, because an endpoint has restarted.
     pub raises_fence: bool,
-    /// Set if no change was left for a later snapshot.
-    pub complete: bool,
 }
 
 impl Snapshot {
--- a/src/dispatch/unit.rs
+++ b/src/dispatch/unit.rs
@@ -30,7 +30,7 @@
     pub first_task: u32,
     /// Number of tasks.
     pub size: u32,
-    /// State.
+    /// State; changed by [`Job::set_state`](super::Job), which keeps the index of states.
     pub state: UnitState,
     /// Number of the last run whose start may have been sent.
     pub run: u32,
--- a/src/lead/transaction.rs
+++ b/src/lead/transaction.rs
@@ -153,8 +153,10 @@
             let key = RowKey::new(JOB, Arc::clone(&job.id));
             commit.put.push((key, submission.encode_to_vec()));
         }
-        let phase = encode_phase(job.phase, &job.team);
-        commit.put.push((RowKey::new(PHASE, Arc::clone(&job.id)), phase));
+        if job.phase_changed {
+            let phase = encode_phase(job.phase, &job.team);
+            commit.put.push((RowKey::new(PHASE, Arc::clone(&job.id)), phase));
+        }
         commit
             .put
             .push((RowKey::new(RECORD, Arc::clone(&job.id)), job.record.encode_to_vec()));
