Do not ask for ends again while they are being stored

Cause: an endpoint that has reported an end lists it until it may forget it, so it answered each hold at once, and the leader sent the next one 15 ms later. The longer the leader took to store ends, the more holds it sent, until it did nothing else.

Change: the loop of an endpoint waits until its ends are stored, at most 250 ms, since the leases have to be renewed.

--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -320,6 +320,7 @@
                 }
             }
             state.dispatcher.borrow_mut().stored(snapshot, now);
+            state.stored.notify_waiters();
         }
         Err(StoreError::Conflict(_)) => {
             state.dispatcher.borrow_mut().store_failed(snapshot);
--- a/src/lead/orders.rs
+++ b/src/lead/orders.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::state::LeaderState;
 use crate::dispatch::{AdviceRequest, Effect, Hold, Start, Stop};
@@ -13,9 +13,13 @@
 /// Pause after a hold order without an answer.
 const UNANSWERED_HOLD_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause between hold orders that the endpoint answers at once, while the ends of runs they report are being stored.
+/// Pause between hold orders that the endpoint answers at once.
 const NO_WAIT_HOLD_PAUSE: Duration = Duration::from_millis(15);
 
+/// Longest time without a hold order while the ends of runs that the endpoint has reported are being stored. Until then
+/// it would answer each one at once with the same ends.
+const UNSTORED_ENDS_PAUSE: Duration = Duration::from_millis(250);
+
 /// Sends one order and passes the answer to the dispatcher.
 pub(super) async fn send_order<O>(state: Rc<LeaderState>, orders: O, effect: Effect)
 where
@@ -143,6 +147,7 @@
         let Some((hold, target)) = next_hold(&state, &endpoint, fence, sent_at) else {
             break;
         };
+        // The hold after the first report grants the first lease, so it follows at once.
         let has_reported = state.dispatcher.borrow().has_reported(&endpoint);
         let order = HoldOrder {
             fence,
@@ -156,27 +161,34 @@
         if state.dispatcher.borrow().fence_of(&endpoint) != Some(fence) {
             break;
         }
-        let pause = match answer {
-            Ok(report) => {
-                let mut dispatcher = state.dispatcher.borrow_mut();
-                dispatcher.report(&endpoint, &report, hold.seen, sent_at, now);
-                // The hold after the first report grants the first lease, so it follows at once.
-                (hold.wait.is_zero() && has_reported).then_some(NO_WAIT_HOLD_PAUSE)
-            }
-            Err(error) => {
-                state.dispatcher.borrow_mut().hold_failed(&endpoint, &error);
-                Some(UNANSWERED_HOLD_PAUSE)
-            }
+        let Ok(report) = answer.inspect_err(|error| state.dispatcher.borrow_mut().hold_failed(&endpoint, error)) else {
+            state.wake.notify_one();
+            sleep(UNANSWERED_HOLD_PAUSE).await;
+            continue;
         };
+        state
+            .dispatcher
+            .borrow_mut()
+            .report(&endpoint, &report, hold.seen, sent_at, now);
         state.wake.notify_one();
-        if let Some(pause) = pause {
-            sleep(pause).await;
+        if state.dispatcher.borrow().has_unstored_ends(&endpoint) {
+            // Whether or not they are stored by then, the leases have to be renewed.
+            let _ = timeout(UNSTORED_ENDS_PAUSE, ends_stored(&state, &endpoint)).await;
+        } else if hold.wait.is_zero() && has_reported {
+            sleep(NO_WAIT_HOLD_PAUSE).await;
         }
     }
     state.held_endpoints.borrow_mut().remove(&(endpoint, fence));
     state.wake.notify_one();
 }
 
+/// Waits until the consequences of all ends that an endpoint has reported are stored.
+async fn ends_stored(state: &LeaderState, endpoint: &str) {
+    while state.dispatcher.borrow().has_unstored_ends(endpoint) {
+        state.stored.notified().await;
+    }
+}
+
 /// Contents and target of the next hold to the incarnation that has this fencing token; `None` if it needs none or is
 /// over.
 fn next_hold(state: &LeaderState, endpoint: &Arc<str>, fence: u64, sent_at: u64) -> Option<(Hold, Target)> {
--- a/src/lead/state.rs
+++ b/src/lead/state.rs
@@ -21,6 +21,8 @@
     pub clock: SteadyClock,
     /// Wakes the main loop.
     pub wake: Notify,
+    /// Notified when a transaction has been stored.
+    pub stored: Notify,
     /// Set when another instance has taken over.
     pub leadership_lost: Cell<bool>,
     /// Endpoints whose hold loop runs, with the fencing token of the loop's orders.
@@ -53,6 +55,7 @@
             first_fence: fence,
             clock,
             wake: Notify::new(),
+            stored: Notify::new(),
             leadership_lost: Cell::new(false),
             held_endpoints: RefCell::default(),
             known_jobs: RefCell::default(),
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -21,7 +21,8 @@
 use crate::store::MemoryStore;
 
 /// Start time of each endpoint.
-const BORN: u64 = 1;
+/// Start time of all endpoints.
+pub const BORN: u64 = 1;
 
 /// Orders to idle endpoints, of which none reaches its endpoint but the hold orders, if those are answered.
 #[derive(Clone, Default)]
