Let large instances lead large sites

Change: while there has never been a leader, instances wait eight times as long before they take over; an instance offers to replace an overloaded leader from one and a half times its size.

--- a/src/lead/monitor.rs
+++ b/src/lead/monitor.rs
@@ -27,8 +27,12 @@
 /// about half of it.
 const OFFER_LEAST_TERM_MS: u64 = 2_000;
 
-/// Least ratio of the processor shares of an instance and the leader it offers to replace.
-const OFFER_SIZE_RATIO: u32 = 2;
+/// Least ratio of the processor shares of an instance and the leader it offers to replace, in percent.
+const OFFER_SIZE_PERCENT: u32 = 150;
+
+/// Factor by which the takeover delay is longer if there has never been a leader. All machines of a new site start within
+/// 0.3 s, and a small instance that starts first would otherwise lead although larger ones are about to start.
+const FIRST_TAKEOVER_FACTOR: u64 = 8;
 
 /// Longest response time of the store at which an offer is made, in milliseconds; a change of leader reads and writes
 /// many rows.
@@ -202,7 +206,7 @@
             }
         };
         let Some(heartbeat) = &self.heartbeat else {
-            return take_over_after(0, delay);
+            return take_over_after(0, FIRST_TAKEOVER_FACTOR * delay);
         };
         if heartbeat.released {
             return match &*heartbeat.successor {
@@ -242,7 +246,7 @@
 
     fn may_offer(&self, heartbeat: &Heartbeat, clock_ms: u64) -> bool {
         if !heartbeat.overloaded
-            || self.timing.millicores < heartbeat.millicores.saturating_mul(OFFER_SIZE_RATIO)
+            || self.timing.millicores < heartbeat.millicores.saturating_mul(OFFER_SIZE_PERCENT) / 100
             || self.response_ms > OFFER_RESPONSE_MAX_MS
         {
             return false;
