Measure the load of the leader and space rounds by their cost

Change: after a round the next is due at five times its average duration, at least 10 and at most 100 ms later. The time spent on rounds, reports, answers, transactions and feeds is served as histograms and logged every 10 s.

--- a/src/dispatch/dirty_queue.rs
+++ b/src/dispatch/dirty_queue.rs
@@ -45,6 +45,11 @@
         self.positions.contains_key(id)
     }
 
+    /// Number of jobs in the queue.
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
     /// Position of the next job that is added.
     pub fn end(&self) -> u64 {
         self.next
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::dirty_queue::DirtyQueue;
 use super::endpoint::PlacedRun;
@@ -54,6 +55,8 @@
     /// Set when no further unit may be placed.
     paused: bool,
     last_round: u64,
+    /// Moving average of the time that a round takes, in milliseconds.
+    round_time_ms: f64,
     next_check: u64,
     /// When this leader took over, in milliseconds.
     pub(super) took_over_at: u64,
@@ -62,6 +65,13 @@
 /// Least time between two scheduling rounds, in milliseconds; batches events that arrive together.
 const ROUND_MIN_MS: u64 = 10;
 
+/// Ratio of the time between two rounds to the time that a round takes. It leaves four fifths of the processor for
+/// reports, orders and the renewal of leadership, however large the fleet and the backlog are.
+const ROUND_SPACING: f64 = 5.0;
+
+/// Weight of the latest round in the moving average of the time that a round takes.
+const ROUND_TIME_WEIGHT: f64 = 0.3;
+
 /// Time between two checks of leases, unanswered orders and leaving endpoints, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 50;
 
@@ -94,6 +104,7 @@
             counts: Counts::default(),
             paused: false,
             last_round: 0,
+            round_time_ms: 0.0,
             next_check: 0,
             took_over_at: now,
         }
@@ -311,6 +322,11 @@
             .count()
     }
 
+    /// Number of jobs whose changes are not stored yet.
+    pub fn unstored_jobs(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Number of endpoints that accept new work.
     pub fn open_endpoints(&self, now: u64) -> usize {
         self.endpoints.values().filter(|endpoint| endpoint.is_open(now)).count()
@@ -322,10 +338,25 @@
         self.paused = true;
     }
 
+    /// When the next round is due, in milliseconds.
+    fn next_round(&self) -> u64 {
+        let spacing = (self.round_time_ms * ROUND_SPACING) as u64;
+        let interval = if self.changed { ROUND_MIN_MS } else { ROUND_INTERVAL_MS };
+        self.last_round + spacing.clamp(interval, ROUND_INTERVAL_MS)
+    }
+
+    /// Notes how long a [`step`](Self::step) at `now` took; if it ran a round, the next rounds keep a distance in
+    /// proportion.
+    pub fn record_step_time(&mut self, took: Duration, now: u64) {
+        if self.last_round == now {
+            let took_ms = took.as_secs_f64() * 1_000.0;
+            self.round_time_ms += ROUND_TIME_WEIGHT * (took_ms - self.round_time_ms);
+        }
+    }
+
     /// Time until [`step`](Self::step) has to be called again, in milliseconds.
     pub fn ms_until_step(&self, now: u64) -> u64 {
-        let round = if self.changed { ROUND_MIN_MS } else { ROUND_INTERVAL_MS };
-        (self.last_round + round).min(self.next_check).saturating_sub(now)
+        self.next_round().min(self.next_check).saturating_sub(now)
     }
 
     /// Runs the periodic checks and a scheduling round if they are due; returns the orders to send.
@@ -336,12 +367,7 @@
             self.resend(now);
             self.evacuate(now);
         }
-        let due = if self.changed {
-            self.last_round + ROUND_MIN_MS
-        } else {
-            self.last_round + ROUND_INTERVAL_MS
-        };
-        if now >= due && !self.paused {
+        if now >= self.next_round() && !self.paused {
             self.changed = false;
             self.last_round = now;
             self.round(now, wall_ms);
--- a/src/lead/feeds.rs
+++ b/src/lead/feeds.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::leader::{OFFER_KEY, SINGLE_ROW_KEY, STORE_RETRY_PAUSE};
+use super::load::Activity;
 use super::state::LeaderState;
 use super::tables::{CANCEL_SUFFIX, INTAKE, LEAD, LEDGER, intake_partition, intake_partitions};
 use super::{Candidate, Offer};
@@ -174,6 +175,11 @@
 }
 
 fn apply_intake_rows(state: &LeaderState, rows: &[Row], now: u64) {
+    state.load.time(Activity::Feed, || submit_and_cancel(state, rows, now));
+    state.wake.notify_one();
+}
+
+fn submit_and_cancel(state: &LeaderState, rows: &[Row], now: u64) {
     let mut dispatcher = state.dispatcher.borrow_mut();
     let rows: Vec<&Row> = rows.iter().filter(|row| !is_removed(state, row)).collect();
     for row in &rows {
@@ -184,8 +190,6 @@
     for row in &rows {
         cancel_from_row(&mut dispatcher, row, now);
     }
-    drop(dispatcher);
-    state.wake.notify_one();
 }
 
 /// Whether an intake row has been removed, as far as this leader knows: the change feed also delivers removed rows, and
@@ -224,9 +228,11 @@
             }
         };
         let now = candidate.clock.now();
-        for row in &rows {
-            update_endpoint_from_row(&candidate, &state, &mut state.dispatcher.borrow_mut(), row, now);
-        }
+        state.load.time(Activity::Feed, || {
+            for row in &rows {
+                update_endpoint_from_row(&candidate, &state, &mut state.dispatcher.borrow_mut(), row, now);
+            }
+        });
         state.wake.notify_one();
     }
 }
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use prost::Message;
 use tokio::task::JoinSet;
@@ -14,6 +14,7 @@
     follow_endpoints, follow_hints, follow_intake, follow_offers, read_intake, submit_from_row,
     update_endpoint_from_row,
 };
+use super::load::Activity;
 use super::overload::SAMPLE_INTERVAL_MS;
 use super::state::LeaderState;
 use super::tables::{JOB, LEARNED, LEDGER, PHASE, RECORD, decode_phase};
@@ -36,6 +37,9 @@
 /// Time between two updates of the metrics, in milliseconds; shorter than the usual scrape intervals.
 const METRICS_INTERVAL_MS: u64 = 1_000;
 
+/// Time between two log lines about the load of the leader, in milliseconds; short beside the minutes of an incident.
+const LOAD_LOG_INTERVAL_MS: u64 = 10_000;
+
 /// Version of the ledger row as the leader last wrote it, which its next transaction expects.
 #[derive(Debug, Clone)]
 pub(super) struct LedgerVersion {
@@ -55,7 +59,13 @@
 {
     log::info!(fence = ledger.fence; "became leader");
     let dispatcher = Dispatcher::new(candidate.tuning.clone(), candidate.clock.now());
-    let state = LeaderState::new(dispatcher, ledger.fence, candidate.clock, confirmed_at);
+    let state = LeaderState::new(
+        dispatcher,
+        ledger.fence,
+        candidate.clock,
+        confirmed_at,
+        Rc::clone(&candidate.metrics),
+    );
     let versions = loop {
         if candidate.stop.is_stopping() {
             return;
@@ -81,6 +91,8 @@
     tasks.spawn_local(monitor_overload(Rc::clone(&state)));
     main_loop(candidate, &state, ledger, &mut tasks).await;
     candidate.metrics.fence.set(0);
+    candidate.metrics.lead_confirmed_age_ms.set(0);
+    candidate.metrics.jobs_unstored.set(0);
     tasks.shutdown().await;
     log::info!(fence = state.fence(); "no longer leader");
 }
@@ -179,6 +191,7 @@
 {
     let mut commit_due = 0;
     let mut metrics_due = 0;
+    let mut load_log_due = candidate.clock.now() + LOAD_LOG_INTERVAL_MS;
     let mut builder = TransactionBuilder::new(candidate.clock.now());
     let mut commits: JoinSet<Result<u64, StoreError>> = JoinSet::new();
     // Kept outside of its task, so that its changes are not lost if the task panics.
@@ -192,7 +205,11 @@
             state.dispatcher.borrow_mut().configure(config);
         }
         // A statement of its own, so that the borrow ends before orders are spawned.
-        let effects = state.dispatcher.borrow_mut().step(now, wall_ms());
+        let begun = Instant::now();
+        let effects = state
+            .load
+            .time(Activity::Round, || state.dispatcher.borrow_mut().step(now, wall_ms()));
+        state.dispatcher.borrow_mut().record_step_time(begun.elapsed(), now);
         for effect in effects {
             tasks.spawn_local(orders::send_order(Rc::clone(state), candidate.orders.clone(), effect));
         }
@@ -202,9 +219,15 @@
             metrics_due = now + METRICS_INTERVAL_MS;
             update_metrics(candidate, state, now);
         }
+        if now >= load_log_due {
+            load_log_due = now + LOAD_LOG_INTERVAL_MS;
+            state.load.log();
+        }
         if commits.is_empty()
             && now >= commit_due
-            && let Some(mut transaction) = builder.build(candidate, state, &ledger, now)
+            && let Some(mut transaction) = state
+                .load
+                .time(Activity::Commit, || builder.build(candidate, state, &ledger, now))
         {
             let (rows, commit) = (candidate.rows.clone(), std::mem::take(&mut transaction.commit));
             commits.spawn_local(async move { rows.commit(&commit).await });
@@ -273,6 +296,12 @@
     metrics
         .orders_in_doubt
         .set(dispatcher.orders_in_doubt().cast_signed() as i64);
+    metrics
+        .jobs_unstored
+        .set(dispatcher.unstored_jobs().cast_signed() as i64);
+    metrics
+        .lead_confirmed_age_ms
+        .set(now.saturating_sub(state.confirmed_at.get()).cast_signed());
     metrics.fence.set(dispatcher.fence().cast_signed());
 }
 
@@ -319,7 +348,9 @@
                     state.ended_jobs.borrow_mut().add(&job.id, now);
                 }
             }
-            state.dispatcher.borrow_mut().stored(snapshot, now);
+            state
+                .load
+                .time(Activity::Commit, || state.dispatcher.borrow_mut().stored(snapshot, now));
             state.stored.notify_waiters();
         }
         Err(StoreError::Conflict(_)) => {
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -14,6 +14,7 @@
 mod hint;
 mod leader;
 mod ledger;
+mod load;
 mod monitor;
 mod offer;
 mod orders;
--- a/src/lead/orders.rs
+++ b/src/lead/orders.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::load::Activity;
 use super::state::LeaderState;
 use crate::dispatch::{AdviceRequest, Effect, Hold, Start, Stop};
 use crate::port::{AdviceQuery, HoldOrder, OrderError, Orders, Refusal, StartOrder, StopOrder, Target};
@@ -78,7 +79,9 @@
     };
     check_fence(state, &start.endpoint, fence, answer.as_ref().err());
     let now = state.clock.now();
-    state.dispatcher.borrow_mut().started(&start, answer, now);
+    state.load.time(Activity::Answer, || {
+        state.dispatcher.borrow_mut().started(&start, answer, now);
+    });
 }
 
 async fn send_stop<O>(state: &LeaderState, orders: &O, stop: Stop)
@@ -102,7 +105,9 @@
     };
     check_fence(state, &stop.endpoint, fence, answer.as_ref().err());
     let now = state.clock.now();
-    state.dispatcher.borrow_mut().stopped(&stop, answer, now);
+    state.load.time(Activity::Answer, || {
+        state.dispatcher.borrow_mut().stopped(&stop, answer, now);
+    });
 }
 
 async fn send_advice_request<O>(state: &LeaderState, orders: &O, request: &AdviceRequest)
@@ -166,10 +171,10 @@
             sleep(UNANSWERED_HOLD_PAUSE).await;
             continue;
         };
-        state
-            .dispatcher
-            .borrow_mut()
-            .report(&endpoint, &report, hold.seen, sent_at, now);
+        state.load.time(Activity::Report, || {
+            let mut dispatcher = state.dispatcher.borrow_mut();
+            dispatcher.report(&endpoint, &report, hold.seen, sent_at, now);
+        });
         state.wake.notify_one();
         if state.dispatcher.borrow().has_unstored_ends(&endpoint) {
             // Whether or not they are stored by then, the leases have to be renewed.
--- a/src/lead/state.rs
+++ b/src/lead/state.rs
@@ -9,7 +9,9 @@
 
 use super::OverloadDetector;
 use super::ended_jobs::EndedJobs;
+use super::load::LoadMeter;
 use crate::dispatch::Dispatcher;
+use crate::metric::InstanceMetrics;
 use crate::net::SteadyClock;
 
 /// State shared by the tasks of the leader.
@@ -45,10 +47,17 @@
     pub jobs_to_remove: RefCell<Vec<Arc<str>>>,
     /// Whether the process is short of processor time.
     pub overload: Cell<OverloadDetector>,
+    pub load: LoadMeter,
 }
 
 impl LeaderState {
-    pub fn new(mut dispatcher: Dispatcher, fence: u64, clock: SteadyClock, confirmed_at: u64) -> Rc<Self> {
+    pub fn new(
+        mut dispatcher: Dispatcher,
+        fence: u64,
+        clock: SteadyClock,
+        confirmed_at: u64,
+        metrics: Rc<InstanceMetrics>,
+    ) -> Rc<Self> {
         dispatcher.raise_fence(fence, clock.now());
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
@@ -66,6 +75,7 @@
             ended_jobs: RefCell::default(),
             jobs_to_remove: RefCell::default(),
             overload: Cell::default(),
+            load: LoadMeter::new(metrics),
         })
     }
 
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -25,12 +25,20 @@
     pub reason: String,
 }
 
+/// Label for an activity of the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ActivityLabel {
+    /// Activity: `round`, `report`, `answer`, `commit` or `feed`.
+    pub activity: &'static str,
+}
+
 /// Metrics of `yuccaridge-instance`.
 #[derive(Debug)]
 pub struct InstanceMetrics {
     registry: Registry,
     answers: Family<AnswerLabel, Counter>,
     answer_time: Histogram,
+    activity_time: Family<ActivityLabel, Histogram>,
     /// Ends of runs by outcome or by the reason for the stop, while this instance was the leader.
     pub run_ends: Family<ReasonLabel, Counter>,
     /// Ends `done` that matched no expected run, by the reason.
@@ -45,6 +53,10 @@
     pub endpoints_open: Gauge,
     /// Start and stop orders whose result is unknown.
     pub orders_in_doubt: Gauge,
+    /// Jobs whose changes are not stored yet, while this instance is the leader.
+    pub jobs_unstored: Gauge,
+    /// Time since the last transaction that confirmed leadership was sent, in milliseconds; 0 on other instances.
+    pub lead_confirmed_age_ms: Gauge,
     /// Fencing token while this instance is the leader, else 0.
     pub fence: Gauge,
     /// Time since the store last confirmed the configuration, in milliseconds; -1 before the first confirmation.
@@ -61,6 +73,7 @@
             registry: Registry::with_prefix("yuccaridge"),
             answers: Family::default(),
             answer_time,
+            activity_time: Family::new_with_constructor(activity_histogram),
             run_ends: Family::default(),
             unmatched_done: Family::default(),
             starts: Counter::default(),
@@ -68,6 +81,8 @@
             jobs_running: Gauge::default(),
             endpoints_open: Gauge::default(),
             orders_in_doubt: Gauge::default(),
+            jobs_unstored: Gauge::default(),
+            lead_confirmed_age_ms: Gauge::default(),
             fence: Gauge::default(),
             config_age_ms: Gauge::default(),
             config_version: Gauge::default(),
@@ -80,6 +95,22 @@
             Unit::Seconds,
             metrics.answer_time.clone(),
         );
+        registry.register_with_unit(
+            "activity_time",
+            "Time of single activities of the leader",
+            Unit::Seconds,
+            metrics.activity_time.clone(),
+        );
+        registry.register(
+            "jobs_unstored",
+            "Jobs whose changes the leader has not stored yet",
+            metrics.jobs_unstored.clone(),
+        );
+        registry.register(
+            "lead_confirmed_age_ms",
+            "Age of the last confirmation of the lead, milliseconds",
+            metrics.lead_confirmed_age_ms.clone(),
+        );
         registry.register(
             "run_ends",
             "Ends of runs, by outcome or reason",
@@ -122,6 +153,11 @@
     }
 }
 
+/// Buckets from 16 us to 0.5 s; a round of a large fleet takes about a millisecond.
+fn activity_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_016, 2.0, 16))
+}
+
 impl InstanceMetrics {
     /// Counts an answer to a caller and records the time that it took.
     pub fn record_answer(&self, call: &'static str, answer: String, time: Duration) {
@@ -129,6 +165,13 @@
         self.answer_time.observe(time.as_secs_f64());
     }
 
+    /// Records how long one activity of the leader took.
+    pub fn record_activity(&self, activity: &'static str, time: Duration) {
+        self.activity_time
+            .get_or_create(&ActivityLabel { activity })
+            .observe(time.as_secs_f64());
+    }
+
     /// Counts `count` ends of runs with the same reason.
     pub fn count_run_ends(&self, reason: &str, count: u64) {
         let reason = reason.to_owned();
