End quietly when the reader of the standard output has gone

Change: what the program prints goes through a macro that ends it with exit code 0 on a closed pipe and reports other errors; the completions are made in memory first.

Evidence: the new test failed on the former code with the panic message.

--- a/src/bin/yuccaridge/check.rs
+++ b/src/bin/yuccaridge/check.rs
@@ -17,27 +17,32 @@
     if is_json {
         print::json(&json!({ "valid": true, "instance": config.instance, "domain": config.domain }));
     } else {
-        println!(
+        outln!(
             "The settings are valid. Instance {} in domain {}:",
-            config.instance, config.domain
+            config.instance,
+            config.domain
         );
-        println!("  callers   {} (reached as {})", config.listen, config.advertise);
-        println!("  peers     {}", config.peer);
+        outln!("  callers   {} (reached as {})", config.listen, config.advertise);
+        outln!("  peers     {}", config.peer);
         let platform = config.platform;
-        println!(
+        outln!(
             "  platform  table {}, objects {}, list {}",
-            platform.table, platform.objects, platform.list
+            platform.table,
+            platform.objects,
+            platform.list
         );
         let weights = config.weights;
-        println!(
+        outln!(
             "  weights   completion {}, fragmentation {}",
-            weights.completion, weights.fragmentation
+            weights.completion,
+            weights.fragmentation
         );
-        println!(
+        outln!(
             "  budget    {} writes/s, {} reads/s",
-            config.budget.writes, config.budget.reads
+            config.budget.writes,
+            config.budget.reads
         );
-        println!("  drain     {} s", config.drain.0 / 1000);
+        outln!("  drain     {} s", config.drain.0 / 1000);
     }
     Ok(Exit::Success)
 }
@@ -58,7 +63,7 @@
         let range = key
             .range
             .map_or_else(String::new, |(min, max)| format!(", {min} to {max}"));
-        println!(
+        outln!(
             "{}\n    {} ({}{range})\n    {}",
             key.path,
             key.about,
--- a/src/bin/yuccaridge/cli.rs
+++ b/src/bin/yuccaridge/cli.rs
@@ -1,6 +1,5 @@
 //! Definition of the command line.
 
-use std::io;
 use std::path::PathBuf;
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
@@ -196,5 +195,7 @@
 
 /// Prints a completion script.
 pub fn completions(shell: Shell) {
-    clap_complete::generate(shell, &mut Cli::command(), "yuccaridge", &mut io::stdout());
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "yuccaridge", &mut script);
+    out!("{}", String::from_utf8_lossy(&script));
 }
--- a/src/bin/yuccaridge/main.rs
+++ b/src/bin/yuccaridge/main.rs
@@ -1,9 +1,11 @@
 //! The `yuccaridge` program: an instance of the scheduler, and its command line client.
 
+#[macro_use]
+mod print;
+
 mod check;
 mod cli;
 mod exit;
-mod print;
 mod requests;
 mod serve;
 mod ticket;
--- a/src/bin/yuccaridge/print.rs
+++ b/src/bin/yuccaridge/print.rs
@@ -1,17 +1,50 @@
 //! Output for the user.
 
+use std::fmt::Arguments;
+use std::io::{self, ErrorKind, Write};
+use std::process;
+
 use serde::Serialize;
 use serde_json::Value;
 use yuccaridge::api::{JobView, StatusView, TicketView};
 use yuccaridge::job::Outcome;
 use yuccaridge::row::TicketState;
 
+/// Writes to the standard output like `print!`, and ends the program quietly if the reader has closed it.
+macro_rules! out {
+    ($($argument:tt)*) => {
+        $crate::print::write(format_args!($($argument)*))
+    };
+}
+
+/// The same with a line break.
+macro_rules! outln {
+    () => {
+        out!("\n")
+    };
+    ($($argument:tt)*) => {
+        out!("{}\n", format_args!($($argument)*))
+    };
+}
+
+/// Writes to the standard output; see [`out`].
+pub fn write(text: Arguments<'_>) {
+    let Err(error) = io::stdout().write_fmt(text) else {
+        return;
+    };
+    if error.kind() == ErrorKind::BrokenPipe {
+        process::exit(0);
+    }
+    eprintln!("cannot write to the standard output: {error}");
+    process::exit(1);
+}
+
 /// Prints a value as one line of JSON.
 pub fn json<T>(value: &T)
 where
     T: Serialize,
 {
-    println!("{}", serde_json::to_value(value).unwrap_or(Value::Null));
+    outln!("{}", serde_json::to_value(value).unwrap_or(Value::Null));
 }
 
 /// The serialized name of an enum value, with spaces for underscores.
@@ -27,26 +60,26 @@
 
 /// Prints the state of a job.
 pub fn job(view: &JobView) {
-    print!("job {}: {}", view.id, enum_name(&view.state));
+    out!("job {}: {}", view.id, enum_name(&view.state));
     if view.attempt > 0 {
-        print!(", attempt {}", view.attempt);
+        out!(", attempt {}", view.attempt);
     }
     if let Some(pool) = &view.pool {
-        print!(", pool {pool}");
+        out!(", pool {pool}");
     }
-    println!();
+    outln!();
     for endpoint in &view.endpoints {
-        println!("  on {endpoint}");
+        outln!("  on {endpoint}");
     }
     match &view.outcome {
         None => {}
-        Some(Outcome::Completed { answer }) => println!("  completed: {answer}"),
-        Some(Outcome::Failed { reason }) => println!("  failed: {reason}"),
-        Some(Outcome::NotRun { message, .. }) => println!("  not run: {message}"),
-        Some(Outcome::Cancelled { ran: true }) => println!("  cancelled; part of it was run"),
-        Some(Outcome::Cancelled { ran: false }) => println!("  cancelled; nothing was run"),
+        Some(Outcome::Completed { answer }) => outln!("  completed: {answer}"),
+        Some(Outcome::Failed { reason }) => outln!("  failed: {reason}"),
+        Some(Outcome::NotRun { message, .. }) => outln!("  not run: {message}"),
+        Some(Outcome::Cancelled { ran: true }) => outln!("  cancelled; part of it was run"),
+        Some(Outcome::Cancelled { ran: false }) => outln!("  cancelled; nothing was run"),
         Some(Outcome::Unknown { reason }) => {
-            println!("  unknown: {reason}\n  The job may have been run. Ask again with the same id.");
+            outln!("  unknown: {reason}\n  The job may have been run. Ask again with the same id.");
         }
     }
 }
@@ -58,7 +91,7 @@
         TicketState::Accepted => "in force everywhere",
     };
     let before = if view.repeated { " (already done before)" } else { "" };
-    println!("ticket {}: {state}{before}", view.number);
+    outln!("ticket {}: {state}{before}", view.number);
 }
 
 /// Prints the status of an instance.
@@ -68,26 +101,26 @@
     } else {
         "expired: accepts no jobs and no tickets"
     };
-    println!("instance {}: ticket {}, session {session}", view.instance, view.ticket);
+    outln!("instance {}: ticket {}, session {session}", view.instance, view.ticket);
     if view.draining {
-        println!("  draining: accepts no new requests");
+        outln!("  draining: accepts no new requests");
     }
     let mut names = Vec::new();
     for name in &view.instances {
         names.push(name.as_str());
     }
-    println!("  live instances: {}", names.join(", "));
+    outln!("  live instances: {}", names.join(", "));
     for (pool, holder) in &view.pools {
         let holder = holder.as_ref().map_or("no instance", |name| name.as_str());
-        println!("  pool {pool}: planned by {holder}");
+        outln!("  pool {pool}: planned by {holder}");
     }
     for (pool, jobs) in &view.waiting {
-        println!("  pool {pool}: {jobs} waiting");
+        outln!("  pool {pool}: {jobs} waiting");
     }
     for (team, shortfall) in &view.at_risk {
-        println!("  guarantee at risk: team {team}: {shortfall}");
+        outln!("  guarantee at risk: team {team}: {shortfall}");
     }
     for (endpoint, reason) in &view.quarantine {
-        println!("  quarantine: endpoint {endpoint}: {reason}");
+        outln!("  quarantine: endpoint {endpoint}: {reason}");
     }
 }
--- a/src/bin/yuccaridge/ticket.rs
+++ b/src/bin/yuccaridge/ticket.rs
@@ -49,7 +49,7 @@
     if is_json {
         print::json(&json!({ "valid": true, "objects": ticket.len() }));
     } else {
-        println!(
+        outln!(
             "The syntax of the ticket is valid; it sets or removes {} objects. Its guarantees are checked against the \
              endpoints when it is applied.",
             ticket.len()
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -2,7 +2,7 @@
 
 mod fake;
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
@@ -275,3 +275,22 @@
     }
     assert!(stdout_text(&run(&["check", "--keys"])).contains("YUCCARIDGE_LIMITS_BODY_BYTES"));
 }
+
+/// Guards against a panic message after `yuccaridge check --keys | head`: the reader closes the pipe before the program
+/// has written everything.
+#[test]
+fn a_closed_standard_output_ends_the_program_quietly() {
+    for arguments in [
+        &["check", "--keys"][..],
+        &["check", "--keys", "--json"],
+        &["completions", "bash"],
+    ] {
+        let (reader, writer) = io::pipe().expect("a pipe");
+        drop(reader);
+
+        let output = command(arguments).stdout(writer).output().expect("runs");
+
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert_eq!((exit_code(&output), &*text), (0, ""), "{arguments:?}");
+    }
+}
