Keep the bounds of leases on silent endpoints across changes of leader

Change: a leader stores when the leases on such an endpoint end, on the clock of the store, and grants none there until a transaction without the bound is stored. Its successor goes on from the bound; it accepts only bounds that were stored with the token before its own, so that a leader in between that knows nothing of them makes them void.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -7,6 +7,7 @@
 use super::dirty_queue::DirtyQueue;
 use super::endpoint::PlacedRun;
 use super::incarnation::LATE_ORDER_MAX_MS;
+use super::lease_bound::LeaseBounds;
 use super::pool_view::PoolView;
 use super::preempt::Claim;
 use super::reservation::Reservation;
@@ -36,6 +37,8 @@
     pub(super) claims_due: u64,
     /// Endpoints reserved for blocked gangs in the last round, by job and position of the unit.
     pub(super) reservations: BTreeMap<(Arc<str>, usize), Reservation>,
+    /// Bounds of leases on silent endpoints, for the next leader.
+    pub(super) lease_bounds: LeaseBounds,
     /// Speeds learned by a former leader for endpoints that have not been listed yet, by name and incarnation.
     pub(super) restored_speeds: BTreeMap<(Arc<str>, u64), SpeedEstimate>,
     /// Learned work of tasks, by queue.
@@ -93,6 +96,7 @@
             dropped_endpoints: BTreeMap::new(),
             claims: BTreeMap::new(),
             claims_due: 0,
+            lease_bounds: LeaseBounds::default(),
             reservations: BTreeMap::new(),
             work_estimates: WorkEstimates::default(),
             typical_log_speed: 0.0,
@@ -159,7 +163,7 @@
         }
         job.queue = self.config.queues.get(&*job.submission.queue).cloned();
         // A former leader may have renewed leases on these endpoints until its own lead ran out.
-        let leases_end_at = self.took_over_at + self.tuning.leader_lease_ms + self.longest_lease_ms();
+        let latest_end_at = self.took_over_at + self.tuning.leader_lease_ms + self.longest_lease_ms();
         let fence = self.fence;
         let need: Vec<Resources> = (0..job.units.len()).map(|unit| job.need(unit)).collect();
         if job.units.iter().any(|unit| !unit.members.is_empty()) {
@@ -167,6 +171,8 @@
         }
         for (position, unit) in job.units.iter().enumerate() {
             for (index, member) in unit.members.iter().enumerate() {
+                let stored_bound = self.lease_bounds.ends_at(&member.endpoint, member.born);
+                let leases_end_at = stored_bound.unwrap_or(latest_end_at).min(latest_end_at);
                 let endpoint = self.endpoints.entry(Arc::clone(&member.endpoint)).or_insert_with(|| {
                     let mut endpoint = Endpoint::new(placeholder_entry(member.born), leases_end_at, Some(fence));
                     endpoint.listed = false;
@@ -180,12 +186,12 @@
                     ends_at: now,
                 };
                 // A start of the former leader may still be on its way to a later incarnation, whose clock began anew.
-                let late_ms = if member.born < endpoint.entry.born {
-                    LATE_ORDER_MAX_MS
+                let bound = if member.born < endpoint.entry.born {
+                    latest_end_at + LATE_ORDER_MAX_MS
                 } else {
-                    0
+                    leases_end_at
                 };
-                endpoint.leases_end_at = endpoint.leases_end_at.max(leases_end_at + late_ms);
+                endpoint.leases_end_at = endpoint.leases_end_at.max(bound);
                 // The list may lag behind the record; until it catches up, entries of earlier incarnations are stale.
                 endpoint.entry.born = endpoint.entry.born.max(member.born);
                 endpoint.add_run(Arc::clone(&member.task), unit.run, placed_run);
@@ -267,14 +273,15 @@
 
     /// Contents of the next hold of an endpoint; `None` if it needs none.
     pub fn hold(&mut self, name: &Arc<str>, now: u64) -> Option<Hold> {
+        let may_lease = !self.lease_bounds.contains(name);
         let endpoint = self.endpoints.get_mut(name)?;
         let fence = endpoint.fence.filter(|_| endpoint.wants_hold())?;
-        Some(endpoint.hold(&self.tuning, fence, now))
+        Some(endpoint.hold(&self.tuning, fence, may_lease, now))
     }
 
     /// Grants the lease of a start that is about to be sent at `now` and returns its end on the clock of the endpoint.
-    /// `None` if the start must not be sent: the clock is not known, or the run has been given up since the start was
-    /// decided.
+    /// `None` if the start must not be sent: the clock is not known, the run has been given up since the start was decided,
+    /// or no lease may be granted there.
     pub fn lease_start(&mut self, start: &Start, now: u64) -> Option<u64> {
         let unit = self.jobs.get(&start.job)?.units.get(start.unit)?;
         let member = unit.members.get(start.member)?;
@@ -282,6 +289,7 @@
             || member.endpoint != start.endpoint
             || member.born != start.born
             || !matches!(member.state, MemberState::Sent { .. })
+            || self.lease_bounds.contains(&start.endpoint)
         {
             return None;
         }
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::lease_bound::UNLISTED_MISSED_HOLDS_MAX;
 use super::{SpeedEstimate, Tuning};
 use crate::port::{EndpointEntry, Resources};
 
@@ -61,6 +62,8 @@
     pub last_end_acked: u64,
     /// Time by which all leases on it have expired, in milliseconds.
     pub leases_end_at: u64,
+    /// When this leader last granted a lease to its present incarnation, in milliseconds.
+    pub(super) leased_at: Option<u64>,
     /// The same if the unanswered hold renews the lease; 0 if it renews none.
     pub renewal_ends_at: u64,
     /// Its present incarnation has reported to this leader.
@@ -104,6 +107,7 @@
             last_end_stored: 0,
             last_end_acked: 0,
             leases_end_at,
+            leased_at: None,
             renewal_ends_at: 0,
             reported: false,
             fence,
@@ -165,17 +169,26 @@
     }
 
     /// Contents of the next hold, sent at `now` with the fencing token `fence`.
-    pub fn hold(&mut self, tuning: &Tuning, fence: u64, now: u64) -> Hold {
+    /// A lease is granted only if `may_lease`.
+    pub fn hold(&mut self, tuning: &Tuning, fence: u64, may_lease: bool, now: u64) -> Hold {
         self.contacted = true;
         let idle = self.runs.is_empty();
         // The leases on an unresponsive endpoint must expire at some point, even if only its answers are lost.
-        let renews = !idle && self.missed_holds < tuning.missed_holds_max;
+        let missed_max = if self.listed {
+            tuning.missed_holds_max
+        } else {
+            UNLISTED_MISSED_HOLDS_MAX
+        };
+        let renews = may_lease && !idle && self.missed_holds < missed_max;
         let span = if self.entry.draining {
             tuning.start_lease_ms
         } else {
             tuning.lease_ms
         };
         let lease_end = if renews { self.lease_end_at(now, span) } else { None };
+        if lease_end.is_some() {
+            self.leased_at = Some(now);
+        }
         self.renewal_ends_at = lease_end.map_or(0, |_| self.lease_bound(tuning, now, span));
         // Ends that are not stored yet are listed again, so the endpoint would answer at once anyway.
         let settled = self.last_end_stored == self.last_end && self.reported;
@@ -219,6 +232,7 @@
 
     /// Notes that a lease of `span_ms` was granted in an order sent at `now`.
     pub fn extend_leases(&mut self, tuning: &Tuning, now: u64, span_ms: u64) {
+        self.leased_at = Some(now);
         self.leases_end_at = self.leases_end_at.max(self.lease_bound(tuning, now, span_ms));
     }
 
@@ -232,7 +246,12 @@
 
     /// Whether all leases on it have certainly expired.
     pub fn leases_have_expired(&self, now: u64) -> bool {
-        self.leases_end_at.max(self.renewal_ends_at) <= now
+        self.leases_end() <= now
+    }
+
+    /// Time by which all leases on it have ended, in milliseconds.
+    pub(super) fn leases_end(&self) -> u64 {
+        self.leases_end_at.max(self.renewal_ends_at)
     }
 
     /// End of a lease granted at `now`, on the clock of the endpoint; `None` if that clock is not known.
--- a/src/dispatch/persist.rs
+++ b/src/dispatch/persist.rs
@@ -54,6 +54,8 @@
             }
         }
         snapshot.raises_fence = self.endpoints.values().any(|endpoint| endpoint.fence.is_none());
+        let bounds = self.wanted_lease_bounds();
+        snapshot.lease_bounds = self.lease_bounds.changed(bounds);
         if snapshot.is_empty() {
             return None;
         }
@@ -64,6 +66,11 @@
     pub fn stored(&mut self, snapshot: Snapshot, now: u64) {
         if snapshot.raises_fence {
             self.raise_fence(self.fence + 1, now);
+            // The next leader accepts only bounds that were stored with the last token.
+            self.lease_bounds.store_again();
+        }
+        if let Some(bounds) = snapshot.lease_bounds {
+            self.lease_bounds.set_stored(bounds);
         }
         for start in snapshot.starts {
             let Some(job) = self.jobs.get_mut(&start.job) else {
@@ -108,6 +115,9 @@
 
     /// Applies the failed commit of a snapshot: its changes become part of the next one.
     pub fn store_failed(&mut self, snapshot: Snapshot) {
+        if snapshot.lease_bounds.is_some() || snapshot.raises_fence {
+            self.lease_bounds.store_failed();
+        }
         for write in snapshot.jobs {
             self.dirty.restore(write.id, write.position);
         }
--- a/src/dispatch/snapshot.rs
+++ b/src/dispatch/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::Start;
+use super::{LeaseBound, Start};
 use crate::graph::{JobRecord, Phase, Submission};
 
 /// State of one job to store.
@@ -33,6 +33,8 @@
     pub starts: Vec<Start>,
     /// Endpoint, incarnation and number of the last end of a run whose consequences the snapshot covers.
     pub last_ends: Vec<(Arc<str>, u64, u64)>,
+    /// All bounds of leases on silent endpoints, if they have changed; times are those of the dispatcher's clock.
+    pub lease_bounds: Option<Vec<LeaseBound>>,
     /// Set if the commit has to raise the fencing token, because an endpoint has restarted.
     pub raises_fence: bool,
 }
@@ -40,6 +42,10 @@
 impl Snapshot {
     /// Whether there is nothing to store.
     pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty() && self.starts.is_empty() && self.last_ends.is_empty() && !self.raises_fence
+        self.jobs.is_empty()
+            && self.starts.is_empty()
+            && self.last_ends.is_empty()
+            && self.lease_bounds.is_none()
+            && !self.raises_fence
     }
 }
--- a/src/lead/feeds.rs
+++ b/src/lead/feeds.rs
@@ -207,8 +207,10 @@
 {
     let table = candidate.entries.endpoint_table();
     loop {
+        let sent_at = candidate.clock.now();
         let rows = match candidate.rows.changes(table, version, FEED_WAIT).await {
             Ok(changes) => {
+                state.store_clock.set(Some((changes.clock_ms, sent_at)));
                 version = changes.version;
                 changes.rows
             }
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -17,9 +17,9 @@
 use super::load::Activity;
 use super::overload::SAMPLE_INTERVAL_MS;
 use super::state::LeaderState;
-use super::tables::{JOB, LEARNED, LEDGER, PHASE, RECORD, decode_phase};
+use super::tables::{BOUNDS, JOB, LEARNED, LEDGER, PHASE, RECORD, decode_phase};
 use super::transaction::{Transaction, TransactionBuilder};
-use super::{Candidate, LedgerEntry, orders};
+use super::{Candidate, LedgerEntry, StoredBounds, orders};
 use crate::dispatch::{Dispatcher, Learned, Snapshot};
 use crate::graph::{JobRecord, Phase};
 use crate::net::wall_ms;
@@ -110,13 +110,16 @@
 {
     let rows = &candidate.rows;
     let learned = Range::one(LEARNED, SINGLE_ROW_KEY);
+    let bounds = Range::one(BOUNDS, SINGLE_ROW_KEY);
+    let sent_at = candidate.clock.now();
     // Former leaders can no longer write these rows, so the reads may run concurrently.
-    let (jobs, phases, records, endpoints, learned) = tokio::try_join!(
+    let (jobs, phases, records, endpoints, learned, bounds) = tokio::try_join!(
         rows.read_all(Range::all(JOB)),
         rows.read_all(Range::all(PHASE)),
         rows.read_all(Range::all(RECORD)),
         rows.read_all(Range::all(candidate.entries.endpoint_table())),
         rows.read(&learned),
+        rows.read(&bounds),
     )?;
     let now = candidate.clock.now();
     let mut dispatcher = state.dispatcher.borrow_mut();
@@ -126,6 +129,13 @@
             Err(error) => log::warn!(error:% = error; "cannot decode the estimates of the former leader"),
         }
     }
+    state.store_clock.set(Some((bounds.clock_ms, sent_at)));
+    if let Some(value) = bounds.rows.first().and_then(|row| row.value.as_deref()) {
+        match StoredBounds::decode(value) {
+            Ok(stored) => dispatcher.restore_lease_bounds(state.restored_bounds(&stored, bounds.clock_ms, now)),
+            Err(error) => log::warn!(error:% = error; "cannot decode the bounds of leases of the former leader"),
+        }
+    }
     if let Some(config) = candidate.view.config() {
         dispatcher.configure(config);
     }
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -20,6 +20,7 @@
 mod orders;
 mod overload;
 mod state;
+mod stored_bounds;
 mod tables;
 mod transaction;
 
@@ -30,7 +31,8 @@
 pub use monitor::{FollowerAction, LeaderMonitor, Observation};
 pub use offer::Offer;
 pub use overload::OverloadDetector;
+pub use stored_bounds::{StoredBound, StoredBounds};
 pub use tables::{
-    CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase,
+    BOUNDS, CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase,
     intake_partition,
 };
--- a/src/lead/state.rs
+++ b/src/lead/state.rs
@@ -10,7 +10,8 @@
 use super::OverloadDetector;
 use super::ended_jobs::EndedJobs;
 use super::load::LoadMeter;
-use crate::dispatch::Dispatcher;
+use super::{StoredBound, StoredBounds};
+use crate::dispatch::{Dispatcher, LeaseBound};
 use crate::metric::InstanceMetrics;
 use crate::net::SteadyClock;
 
@@ -23,6 +24,8 @@
     pub clock: SteadyClock,
     /// Wakes the main loop.
     pub wake: Notify,
+    /// Clock of the store in a recent answer, and the local time before that call, both in milliseconds.
+    pub store_clock: Cell<Option<(u64, u64)>>,
     /// Notified when a transaction has been stored.
     pub stored: Notify,
     /// Set when another instance has taken over.
@@ -64,6 +67,7 @@
             first_fence: fence,
             clock,
             wake: Notify::new(),
+            store_clock: Cell::default(),
             stored: Notify::new(),
             leadership_lost: Cell::new(false),
             held_endpoints: RefCell::default(),
@@ -79,6 +83,37 @@
         })
     }
 
+    /// Stored form of bounds, with their times on the clock of the store. That clock counts from before the call in which it
+    /// was read, so the times are late rather than early.
+    pub fn stored_bounds(&self, bounds: &[LeaseBound], fence: u64) -> StoredBounds {
+        let Some((clock_ms, sent_at)) = self.store_clock.get() else {
+            return StoredBounds::default();
+        };
+        let bounds = bounds.iter().map(|bound| StoredBound {
+            endpoint: bound.endpoint.to_string(),
+            born: bound.born,
+            ends_at: clock_ms.saturating_add(bound.ends_at).saturating_sub(sent_at),
+        });
+        StoredBounds {
+            fence,
+            bounds: bounds.collect(),
+        }
+    }
+
+    /// Bounds of the former leader, on the local clock, if no leader has come between; `answered_at` is the local time
+    /// after the store read its clock.
+    pub fn restored_bounds(&self, stored: &StoredBounds, clock_ms: u64, answered_at: u64) -> Vec<LeaseBound> {
+        if stored.fence.checked_add(1) != Some(self.first_fence) {
+            return Vec::new();
+        }
+        let bounds = stored.bounds.iter().map(|bound| LeaseBound {
+            endpoint: Arc::from(&*bound.endpoint),
+            born: bound.born,
+            ends_at: answered_at.saturating_add(bound.ends_at).saturating_sub(clock_ms),
+        });
+        bounds.collect()
+    }
+
     /// Whether leadership is to be released: to a larger instance, or because this one stops.
     pub fn should_hand_over(&self, stopping: bool) -> bool {
         stopping || self.successor.borrow().is_some()
--- a/src/lead/tables.rs
+++ b/src/lead/tables.rs
@@ -29,6 +29,9 @@
 /// Speeds of endpoints and amounts of work that the leader has estimated; written periodically by the leader.
 pub const LEARNED: &str = "learned";
 
+/// Bounds of leases on endpoints that are silent.
+pub const BOUNDS: &str = "bounds";
+
 /// Heartbeat of the leader, and offers to replace it.
 pub const LEAD: &str = "lead";
 
--- a/src/lead/transaction.rs
+++ b/src/lead/transaction.rs
@@ -7,7 +7,7 @@
 
 use super::leader::{LedgerVersion, SINGLE_ROW_KEY};
 use super::state::LeaderState;
-use super::tables::{JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, encode_phase};
+use super::tables::{BOUNDS, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, encode_phase};
 use super::{Candidate, Heartbeat, LedgerEntry};
 use crate::dispatch::Snapshot;
 use crate::port::{Commit, RowKey};
@@ -127,6 +127,10 @@
             return None;
         }
         add_snapshot(&mut commit, &snapshot, ledger.version, &candidate.ledger_entry(fence));
+        if let Some(bounds) = &snapshot.lease_bounds {
+            let row = state.stored_bounds(bounds, fence).encode_to_vec();
+            commit.put.push((RowKey::new(BOUNDS, SINGLE_ROW_KEY), row));
+        }
         for id in &removed_jobs {
             let rows = [JOB, PHASE, RECORD].map(|table| RowKey::new(table, Arc::clone(id)));
             commit.remove.extend(rows);
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -10,6 +10,7 @@
 mod gang;
 mod idle;
 mod incarnation;
+mod lease_bounds;
 mod no_answer;
 mod odd_entries;
 mod odd_estimates;
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -205,7 +205,9 @@
             version: self.store.version,
             fence: self.store.fence + 1,
             jobs: Vec::new(),
+            lease_bounds: None,
         };
+        let former_fence = self.store.fence;
         self.store.apply(&takeover, self.now);
         self.known_version = self.store.version;
         self.calls.clear();
@@ -218,6 +220,10 @@
         self.dispatcher = Dispatcher::new(Tuning::default(), self.now);
         self.dispatcher.raise_fence(self.store.fence, self.now);
         self.dispatcher.configure(Arc::new(config()));
+        let (fence, bounds) = &self.store.lease_bounds;
+        if *fence == former_fence {
+            self.dispatcher.restore_lease_bounds(bounds.clone());
+        }
         for (endpoint, entry) in &self.entries {
             self.dispatcher.update_endpoint(endpoint, Some(entry.clone()), self.now);
         }
@@ -653,6 +659,7 @@
                 version: self.known_version,
                 fence: self.dispatcher.fence() + u64::from(snapshot.raises_fence),
                 jobs: snapshot.jobs.clone(),
+                lease_bounds: snapshot.lease_bounds.clone(),
             },
             snapshot,
             answered_at: self.now + [0, 50, 50, 100, 300][self.random.random_range(0..5)],
--- a/tests/dispatch/store.rs
+++ b/tests/dispatch/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use yuccaridge::dispatch::JobWrite;
+use yuccaridge::dispatch::{JobWrite, LeaseBound};
 
 use crate::trace;
 
@@ -15,6 +15,7 @@
     /// Fencing token after it.
     pub fence: u64,
     pub jobs: Vec<JobWrite>,
+    pub lease_bounds: Option<Vec<LeaseBound>>,
 }
 
 /// The stored state.
@@ -25,6 +26,8 @@
     /// Fencing token of the ledger.
     pub fence: u64,
     pub jobs: BTreeMap<Arc<str>, JobWrite>,
+    /// Bounds of leases and the fencing token with which they were stored.
+    pub lease_bounds: (u64, Vec<LeaseBound>),
 }
 
 impl FakeStore {
@@ -35,6 +38,9 @@
         }
         self.version += 1;
         self.fence = write.fence;
+        if let Some(bounds) = &write.lease_bounds {
+            self.lease_bounds = (write.fence, bounds.clone());
+        }
         for job in &write.jobs {
             trace::event(
                 &format!("{}.", job.id),
