Send no stop orders once the lead has run out

Cause: a leader that was paused, or has lost the store, sent stop orders for runs that it did not know with its former token. Its successor may have started them on an endpoint that has not seen the new token yet. Starts and leases were already bound to the confirmation of the lead.

Evidence: the new test counts one stop order on the former code, none now.

--- a/src/lead/orders.rs
+++ b/src/lead/orders.rs
@@ -91,6 +91,10 @@
     let target = target(state, &stop.endpoint, stop.born);
     let fence = target.as_ref().map(|(_, fence)| *fence);
     let answer = match target {
+        // The run may be one of a successor on an endpoint that has not seen its token yet.
+        _ if !state.is_leadership_confirmed() => {
+            Err(OrderError::NotSent("leadership was not confirmed recently".to_owned()))
+        }
         Some((target, fence)) => {
             let order = StopOrder {
                 task: Arc::clone(&stop.task),
--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -1,6 +1,7 @@
 //! Tests of leader election and of accepting jobs, with an in-memory store and virtual time.
 
 mod election;
+mod expired_lead;
 mod holds;
 mod incarnation;
 mod monitor;
