--- a/tests/faults/page.rs
+++ b/tests/faults/page.rs
@@ -22,6 +22,20 @@
 ";
 
 const TAIL: &str = "
+## Reports from operators of similar systems
+
+What operators of similar systems reported, whether it can happen to job graphs, and the test that shows it. The soaks
+(`tests/dispatch/soak.rs`, `platform/tests/soak`) check all of them at random.
+
+| report | here | tests |
+|---|---|---|
+| work of a machine that was silent for a while ran again elsewhere, or was given up | a run counts until every lease that may cover it has passed; an entry that lapses takes nothing away | `takeover::a_run_on_a_silent_endpoint_is_not_started_again`, `lease_bounds`, `odd_entries::a_rejected_entry_leaves_the_runs_of_its_endpoint_alone` in `tests/dispatch` |
+| around a hand-over both processes acted | each transaction expects the ledger row of its leader, and orders carry its token | `election::a_leader_that_stops_hands_over_at_once`, `incarnation::a_successor_has_a_higher_token_than_any_restart_has_used` in `tests/lead` |
+| a paused process acted on a permission that had run out | stop orders were sent, fixed; starts and leases were not | `expired_lead`, `election::a_late_answer_does_not_prolong_leadership` in `tests/lead` |
+| after a lost answer work ran again, or was denied | a start without an answer keeps its room; a denial is sent only if no write is in doubt | `no_answer`, `ends`, `store_failure` in `tests/dispatch`; a denial that is untrue is looked for by `platform/tests/soak` |
+| after a restart a server that had left, or a key, was in use again | nothing is kept on an instance; lists and keys are read anew, and refused once they are old | `election::the_configuration_stays_fresh_while_the_feeds_are_silent` in `tests/lead`, `incarnation` in `tests/dispatch`; a key withdrawn during a restart is not tested on its own |
+| one malformed message took a process down | numbers from outside saturate, undecodable rows are left out | `odd_rows` in `tests/lead`, `odd_entries`, `odd_jobs` and `odd_reports` in `tests/dispatch`, `odd_input` and `odd_answers` in `platform/tests` |
+
 ## Not covered
 
 - Real processes, threads and sockets: each simulated instance makes one request at a time.
