--- a/src/dispatch/pool_view.rs
+++ b/src/dispatch/pool_view.rs
@@ -12,6 +12,9 @@
 /// Fraction of the best speed below which an endpoint counts as slow; speeds within a pool differ by factors of 2 to 4.
 const SLOW_SHARE: f64 = 0.55;
 
+/// Most kinds of tasks for which the capacity of racks is kept; callers may ask for any.
+const RACK_CAPACITIES_MAX: usize = 64;
+
 /// Endpoints of a rack, and how many accelerators they have available.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Rack {
@@ -132,6 +135,9 @@
             tasks.fold(0, u32::saturating_add)
         };
         let most = self.racks.iter().map(holds).max().unwrap_or(0);
+        if known.len() >= RACK_CAPACITIES_MAX {
+            known.clear();
+        }
         known.push((*need, label.to_owned(), most));
         most
     }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher with simulated endpoints and virtual time.
 
 mod advice;
+mod alike;
 mod busy;
 mod checker;
 mod ends;
