--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -1,5 +1,15 @@
 //! Tuning parameters of the dispatcher.
 
+/// Time for the reports, the commit and the starts of a claim, in milliseconds; the stops are added to it.
+const CLAIM_OVERHEAD_MS: u64 = 700;
+
+/// Successive stops that an evacuation allows time for: one that fails, and one more.
+const SEQUENTIAL_STOPS: u64 = 2;
+
+/// Time beyond that of a stop after which a victim of a claim counts as one that does not stop, in milliseconds: the order,
+/// the hold that reports the end, and turns of a busy leader.
+const CLAIM_STOP_SLACK_MS: u64 = 400;
+
 /// Timeouts, limits and weights of the dispatcher. The platform settings override some of the defaults.
 #[derive(Debug, Clone)]
 pub struct Tuning {
@@ -82,3 +92,17 @@
         }
     }
 }
+
+impl Tuning {
+    /// Sets the times of claims for endpoints on which a stop takes up to `stop_ms`.
+    #[must_use]
+    pub fn with_stop_time(self, stop_ms: u64) -> Self {
+        let claim_timeout_ms = stop_ms + CLAIM_STOP_SLACK_MS;
+        Self {
+            claim_to_start_ms: CLAIM_OVERHEAD_MS + SEQUENTIAL_STOPS * stop_ms,
+            claim_timeout_ms,
+            reclaim_lead_ms: claim_timeout_ms + CLAIM_OVERHEAD_MS + stop_ms,
+            ..self
+        }
+    }
+}
