Count what is available once when a view is made anew

A new view of a pool counted the available resources, and so did its only caller after bringing it up to date. The doc of claim_to_start_ms names its one remaining use.

--- a/src/dispatch/pool_view.rs
+++ b/src/dispatch/pool_view.rs
@@ -43,6 +43,7 @@
 
 impl PoolView {
     /// Groups endpoints, which are ordered by name, by rack; those without a rack form one group.
+    /// [`count`](Self::count) has to follow.
     pub fn new(views: Vec<EndpointView>, revision: u64) -> Self {
         let mut racks: BTreeMap<Option<Arc<str>>, Rack> = BTreeMap::new();
         for (index, view) in views.iter().enumerate() {
@@ -55,15 +56,13 @@
                 rack_of[*member] = index;
             }
         }
-        let mut pool = Self {
+        Self {
             views,
             racks,
             rack_of,
             revision,
             ..Self::default()
-        };
-        pool.count();
-        pool
+        }
     }
 
     /// The endpoints, to bring them up to date at the start of a round; [`count`](Self::count) has to follow.
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -48,7 +48,7 @@
     pub resume_loss_ms: u64,
     /// Time within which a guarantee has to be met, in milliseconds; from the platform settings.
     pub reclaim_ms: u64,
-    /// Time from a claim to the start of the claiming unit, in milliseconds: stopping the victims, their reports, a
+    /// Time that an evacuation needs before the endpoint leaves, in milliseconds: stopping its units, their reports, a
     /// commit and the start orders.
     pub claim_to_start_ms: u64,
     /// Time before the bound of a guarantee from which a claim is made at any cost, in milliseconds: one claim whose victims
