Review: a restarted worker does a task twice

A worker leaves a start and a hold unanswered, crashes, starts again under its id and carries both out; the end is forgotten unread and the task is started again (TWICE). The stand-in of the worker learns to do so.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -49,6 +49,7 @@
         "lasting" => lasting(trouble, record, temp),
         "wide" => wide(trouble, record, temp),
         "late" => late(trouble, record, temp),
+        "again" => again(trouble, record, temp),
         _ => Err(format!("no case {name}")),
     }
 }
@@ -554,3 +555,80 @@
     record.line(&format!("state {}", site.state(1, &PLAN, id)));
     Ok(held)
 }
+
+/// A worker leaves a start and a hold unanswered, crashes, starts again under its id, and carries both out late.
+fn again(trouble: bool, record: &Arc<Record>, temp: &Path) -> Outcome {
+    let mut fleet = workers(8);
+    fleet.push(("i-00aace57a9".to_owned(), "r1-9".to_owned()));
+    let site = Site::start(record, temp, 3, &fleet, &[PLAN, LIST])?;
+    let wire = [obj([("requires", "r1-9".into())])];
+    let (first, second) = ("a000000000000001", "a000000000000002");
+    if site.submit(0, &LIST, first, &[single(8, 2_000)], &wire, "").0 != 200 {
+        return Err("the first job was not accepted".to_owned());
+    }
+    pause(700);
+    // It waits for the room of the first.
+    if site.submit(0, &LIST, second, &[single(8, 100)], &wire, "").0 != 200 {
+        return Err("the second job was not accepted".to_owned());
+    }
+    pause(300);
+    let site = Arc::new(site);
+    let others = Arc::clone(&site);
+    // Orders to other workers, which are answered.
+    let background = std::thread::spawn(move || {
+        for number in 0..40_u64 {
+            let wire = [obj([("requires", "r1-0".into())])];
+            others.submit(
+                number as usize % 3,
+                &LIST,
+                &format!("b{number:015x}"),
+                &[single(1, 200)],
+                &wire,
+                "",
+            );
+            pause(100);
+        }
+    });
+    if trouble {
+        site.fleet.arm(8);
+        let end = Instant::now() + Duration::from_secs(10);
+        while !site.fleet.world.lock().unwrap().has_kept_both() {
+            if Instant::now() > end {
+                return Err("the worker did not get a start and a hold".to_owned());
+            }
+            pause(5);
+        }
+        let kept = Instant::now();
+        pause(200);
+        site.fleet.crash();
+        pause(1_600);
+        site.fleet.start_again();
+        sleep(Duration::from_millis(2_050).saturating_sub(kept.elapsed()));
+        site.fleet.carry_out("/yuccaridge/run-start");
+        pause(150);
+        site.fleet.carry_out("/yuccaridge/hold");
+        site.fleet.be_usual();
+        pause(500);
+        site.fleet.report(&site.store);
+    }
+    background.join().map_err(|_| "the other clients failed")?;
+    pause(12_000);
+    let world = site.fleet.world.lock().unwrap();
+    let mut done = None;
+    let mut twice = false;
+    for event in world.events.iter().filter(|event| event.task.starts_with(second)) {
+        record.line(&format!(
+            "{} run {} {}",
+            event.task,
+            event.run,
+            event.end.unwrap_or("started")
+        ));
+        twice |= event.end.is_none() && done.is_some();
+        if event.end == Some("done") {
+            done = Some(event.run);
+        }
+    }
+    drop(world);
+    record.line(&format!("state {}", site.state(1, &LIST, second)));
+    Ok(!twice)
+}
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -15,7 +15,8 @@
     pub body: Vec<u8>,
 }
 
-/// Status and body; status 0 for an answer that is lost, after which the connection delivers nothing further.
+/// Status and body; status 0 for an answer that is lost, after which the connection delivers nothing further, and status 1
+/// for a connection that is closed instead.
 pub type Reply = (u16, String);
 
 pub type Handler = Arc<dyn Fn(Request) -> Reply + Send + Sync>;
@@ -52,6 +53,9 @@
             thread::sleep(Duration::from_secs(60));
             return Ok(());
         }
+        if status == 1 {
+            return Ok(());
+        }
         let head = format!(
             "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
             body.len()
--- a/review/rig/workers.rs
+++ b/review/rig/workers.rs
@@ -83,6 +83,18 @@
     seq: u64,
 }
 
+/// Life of a worker that leaves a start and a hold unanswered, crashes, starts again under its id, and carries them out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    Usual,
+    /// Keeps the next start, and the next hold that lets it forget ends.
+    Armed,
+    /// Has crashed.
+    Down,
+    /// Has started again, and answers nothing yet.
+    Again,
+}
+
 /// A start or an end of a run.
 #[derive(Debug, Clone)]
 pub struct Event {
@@ -92,13 +104,23 @@
     pub end: Option<&'static str>,
 }
 
-#[derive(Default)]
 pub struct World {
     pub workers: Vec<Worker>,
     pub jobs: BTreeMap<String, Vec<Step>>,
     pub events: Vec<Event>,
     /// Jobs whose running tasks fail now.
     pub failing: BTreeSet<String>,
+    /// Worker that is armed, by index.
+    armed: usize,
+    life: Life,
+    kept: Vec<Request>,
+}
+
+impl World {
+    /// Whether the armed worker has kept both orders.
+    pub fn has_kept_both(&self) -> bool {
+        self.kept.len() == 2
+    }
 }
 
 pub struct Fleet {
@@ -115,7 +137,15 @@
     /// Starts one worker for each pair of id and rack.
     pub fn start(store: &Arc<Store>, record: &Arc<Record>, workers: &[(String, String)]) -> Arc<Self> {
         let fleet = Arc::new(Self {
-            world: Mutex::default(),
+            world: Mutex::new(World {
+                workers: Vec::new(),
+                jobs: BTreeMap::new(),
+                events: Vec::new(),
+                failing: BTreeSet::new(),
+                armed: 0,
+                life: Life::Usual,
+                kept: Vec::new(),
+            }),
             changed: Condvar::new(),
             record: Arc::clone(record),
         });
@@ -139,7 +169,7 @@
                 seq: 0,
             });
             let shared = Arc::clone(&fleet);
-            serve(listener, Arc::new(move |request| shared.answer(index, &request)));
+            serve(listener, Arc::new(move |request| shared.receive(index, request)));
         }
         let (shared, store) = (Arc::clone(&fleet), Arc::clone(store));
         thread::spawn(move || {
@@ -168,8 +198,118 @@
         }
     }
 
-    fn report(&self, store: &Store) {
-        for worker in &mut self.world.lock().unwrap().workers {
+    /// Lets a worker keep the next start and the next hold that lets it forget ends.
+    pub fn arm(&self, index: usize) {
+        let mut world = self.world.lock().unwrap();
+        world.armed = index;
+        world.life = Life::Armed;
+    }
+
+    /// Crashes the armed worker.
+    pub fn crash(&self) {
+        let mut world = self.world.lock().unwrap();
+        world.life = Life::Down;
+        let index = world.armed;
+        let worker = &mut world.workers[index];
+        worker.runs.clear();
+        self.record.line(&format!("worker {}: crashes", worker.id));
+    }
+
+    /// Starts the armed worker again under its id; it holds and knows nothing of before.
+    pub fn start_again(&self) {
+        let mut world = self.world.lock().unwrap();
+        world.life = Life::Again;
+        let index = world.armed;
+        let worker = &mut world.workers[index];
+        worker.born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(1, |time| time.as_millis() as u64);
+        worker.start = Instant::now();
+        worker.fence = 0;
+        worker.until_ms = 0;
+        worker.past.clear();
+        worker.ended.clear();
+        worker.last_end = 0;
+        worker.seq = 0;
+        self.record.line(&format!(
+            "worker {}: has started again, born {}",
+            worker.id, worker.born
+        ));
+    }
+
+    /// Carries out one of the kept orders.
+    pub fn carry_out(&self, path: &str) {
+        let (index, order) = {
+            let mut world = self.world.lock().unwrap();
+            let Some(position) = world.kept.iter().position(|order| order.path == path) else {
+                return;
+            };
+            (world.armed, world.kept.remove(position))
+        };
+        let (status, _) = self.answer(index, &order);
+        self.record.line(&format!(
+            "late {path} {} is carried out: {status}",
+            String::from_utf8_lossy(&order.body)
+        ));
+    }
+
+    /// The armed worker answers again from now on.
+    pub fn be_usual(&self) {
+        self.world.lock().unwrap().life = Life::Usual;
+    }
+
+    fn receive(self: &Arc<Self>, index: usize, request: Request) -> Reply {
+        let life = {
+            let mut world = self.world.lock().unwrap();
+            if index != world.armed {
+                Life::Usual
+            } else {
+                let seen = Json::parse(&request.body)
+                    .and_then(|body| body.get("seen_upto").num())
+                    .unwrap_or(0);
+                let keeps = request.path == "/yuccaridge/run-start" || seen > 0;
+                if world.life == Life::Armed && keeps && world.kept.iter().all(|kept| kept.path != request.path) {
+                    self.record.line(&format!(
+                        "worker leaves unanswered: {} {}",
+                        request.path,
+                        String::from_utf8_lossy(&request.body)
+                    ));
+                    world.kept.push(request);
+                    return (0, String::new());
+                }
+                world.life
+            }
+        };
+        match life {
+            Life::Usual | Life::Armed => self.answer(index, &request),
+            Life::Down => (1, String::new()),
+            Life::Again => {
+                self.record.line(&format!(
+                    "worker leaves unanswered: {} {}",
+                    request.path,
+                    String::from_utf8_lossy(&request.body)
+                ));
+                let shared = Arc::clone(self);
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(2_500));
+                    let (status, _) = shared.answer(index, &request);
+                    shared
+                        .record
+                        .line(&format!("late {} is carried out: {status}", request.path));
+                });
+                (0, String::new())
+            }
+        }
+    }
+
+    /// Writes the entries of the workers to the store.
+    pub fn report(&self, store: &Store) {
+        let mut world = self.world.lock().unwrap();
+        let silent = (world.life == Life::Down || world.life == Life::Again).then_some(world.armed);
+        for (index, worker) in world.workers.iter_mut().enumerate() {
+            if silent == Some(index) {
+                continue;
+            }
             worker.seq += 1;
             let entry = obj([
                 ("service", "shopdesk".into()),
