Ask silent endpoints for a report until they answer

What callers saw: a job that requires certain endpoints never started, although these had recovered from a few seconds of refusing requests.

Cause: an endpoint that leaves two holds in a row without an answer gets no work, and only a report opens it again. An endpoint without runs is sent no hold once it has reported, and a refused first start frees its run at once. So nothing asked such an endpoint for the report, until the leader changed.

Change: a listed endpoint that is silent wants holds also without runs. The pause between them grows from 300 ms to 1.6 s, and the holds of all such endpoints are spread over slots of 2 ms, so that many of them neither take the leader's time nor answer at once. This also paces the holds to endpoints that have not reported to a new leader yet, which were sent every 300 ms to each. An endpoint that falls silent again without a successful run in between is used after a pause that grows to 1 s, so that work isn't started again and again where it goes down and up by turns.

Ruled out: backoff and quarantine end by time; unexpected runs, unstored ends and a missing fencing token are asked for or stored without an event from the endpoint.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -10,6 +10,7 @@
 use super::lease_bound::LeaseBounds;
 use super::pool_view::PoolView;
 use super::preempt::Claim;
+use super::probe_slots::ProbeSlots;
 use super::reservation::Reservation;
 use super::{Counts, Effect, Endpoint, Hold, Job, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates};
 use crate::graph::{JobRecord, Phase, Submission};
@@ -37,6 +38,8 @@
     pub(super) claims_due: u64,
     /// Endpoints reserved for blocked gangs in the last round, by job and position of the unit.
     pub(super) reservations: BTreeMap<(Arc<str>, usize), Reservation>,
+    /// Times at which silent endpoints are asked for a report.
+    pub(super) probe_slots: ProbeSlots,
     /// Bounds of leases on silent endpoints, for the next leader.
     pub(super) lease_bounds: LeaseBounds,
     /// Speeds learned by a former leader for endpoints that have not been listed yet, by name and incarnation.
@@ -96,6 +99,7 @@
             dropped_endpoints: BTreeMap::new(),
             claims: BTreeMap::new(),
             claims_due: 0,
+            probe_slots: ProbeSlots::default(),
             lease_bounds: LeaseBounds::default(),
             reservations: BTreeMap::new(),
             work_estimates: WorkEstimates::default(),
@@ -275,7 +279,7 @@
     pub fn hold(&mut self, name: &Arc<str>, now: u64) -> Option<Hold> {
         let may_lease = !self.lease_bounds.contains(name);
         let endpoint = self.endpoints.get_mut(name)?;
-        let fence = endpoint.fence.filter(|_| endpoint.wants_hold())?;
+        let fence = endpoint.fence.filter(|_| endpoint.wants_hold(now))?;
         Some(endpoint.hold(&self.tuning, fence, may_lease, now))
     }
 
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use super::lease_bound::UNLISTED_MISSED_HOLDS_MAX;
+use super::probe_slots::ProbeSlots;
 use super::{SpeedEstimate, Tuning};
 use crate::port::{EndpointEntry, Resources};
 
+/// Consecutive holds without an answer from which an endpoint counts as silent.
+const SILENT_MISSED_HOLDS: u32 = 2;
+
 /// Allowance for the delivery of an order in lease bounds, in milliseconds.
 const ORDER_TRANSIT_MS: u64 = 500;
 
@@ -89,6 +93,10 @@
     pub quarantine_ms: u64,
     /// Consecutive holds without an answer.
     pub missed_holds: u32,
+    /// Before this time it is asked for a report only if it may have runs, in milliseconds.
+    pub(super) probe_at: u64,
+    /// How long it gets no new work after it answers again, in milliseconds; rises with each silence until a run succeeds.
+    pub(super) reopen_pause_ms: u64,
     /// Earliest time at which it leaves if it is draining, in milliseconds.
     pub leaves_at: Option<u64>,
     /// Learned speed.
@@ -120,6 +128,8 @@
             backoff_until: 0,
             quarantine_ms: 0,
             missed_holds: 0,
+            probe_at: 0,
+            reopen_pause_ms: 0,
             leaves_at: None,
             speed_estimate: SpeedEstimate::default(),
         }
@@ -153,19 +163,57 @@
     /// Whether new work may be placed on it.
     pub fn is_open(&self, now: u64) -> bool {
         let accepts = self.listed && !self.entry.draining && self.reported && self.unexpected_runs == 0;
-        accepts && self.backoff_until <= now && self.missed_holds < 2
+        accepts && self.backoff_until <= now && !self.is_silent()
+    }
+
+    /// Whether it has left several holds in a row without an answer.
+    pub fn is_silent(&self) -> bool {
+        self.missed_holds >= SILENT_MISSED_HOLDS
     }
 
-    /// Whether a hold has to be sent: to renew leases, to release stored ends, or to fetch the first report.
-    pub fn wants_hold(&self) -> bool {
+    /// Whether a hold has to be sent: to renew leases, to release stored ends, to fetch the first report, or to find out
+    /// whether a silent endpoint answers again.
+    pub fn wants_hold(&self, now: u64) -> bool {
         if self.fence.is_none() {
             return false;
         }
-        if !self.runs.is_empty() || self.unexpected_runs > 0 || self.last_end_stored > self.last_end_acked {
+        if self.has_runs() {
             return true;
         }
         // The fencing token of this leader must reach the endpoint before the first order does.
-        self.listed && !self.reported
+        let needs_report = self.listed && (!self.reported || self.is_silent());
+        (needs_report || self.last_end_stored > self.last_end_acked) && self.probe_at <= now
+    }
+
+    /// Whether runs may exist on it, expected or not.
+    fn has_runs(&self) -> bool {
+        !self.runs.is_empty() || self.unexpected_runs > 0
+    }
+
+    /// Notes that a hold has no answer.
+    pub(super) fn hold_missed(&mut self, tuning: &Tuning, slots: &mut ProbeSlots, now: u64) {
+        let pause_ms = tuning.probe_pause_ms(self.missed_holds);
+        self.missed_holds = self.missed_holds.saturating_add(1);
+        if !self.has_runs() {
+            self.probe_at = slots.take(now + pause_ms, now);
+        }
+    }
+
+    /// Notes that a hold was answered. An endpoint that falls silent again and again is used after growing pauses only.
+    pub(super) fn hold_answered(&mut self, tuning: &Tuning, now: u64) {
+        if self.is_silent() {
+            self.backoff_until = self.backoff_until.max(now + self.reopen_pause_ms);
+            self.reopen_pause_ms = tuning.next_reopen_pause_ms(self.reopen_pause_ms);
+        }
+        self.missed_holds = 0;
+        self.probe_at = 0;
+    }
+
+    /// Notes that a run has succeeded on it.
+    pub(super) fn run_succeeded(&mut self) {
+        self.failed_jobs.clear();
+        self.quarantine_ms = 0;
+        self.reopen_pause_ms = 0;
     }
 
     /// Contents of the next hold, sent at `now` with the fencing token `fence`.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -31,6 +31,7 @@
 mod place;
 mod pool_view;
 mod preempt;
+mod probe_slots;
 mod rank;
 mod report;
 mod reservation;
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -16,13 +16,14 @@
 
 impl Dispatcher {
     /// Notes that a hold failed or has no answer.
-    pub fn hold_failed(&mut self, name: &Arc<str>, error: &OrderError) {
+    pub fn hold_failed(&mut self, name: &Arc<str>, error: &OrderError, now: u64) {
         let Some(endpoint) = self.endpoints.get_mut(name) else {
             return;
         };
         endpoint.hold_ended(!matches!(error, OrderError::NotSent(_)));
-        endpoint.missed_holds = endpoint.missed_holds.saturating_add(1);
-        if endpoint.missed_holds == 2 {
+        let was_silent = endpoint.is_silent();
+        endpoint.hold_missed(&self.tuning, &mut self.probe_slots, now);
+        if endpoint.is_silent() && !was_silent {
             log::warn!(endpoint:% = name, runs = endpoint.runs.len(), error:% = error; "endpoint has not answered two holds in a row");
         }
     }
@@ -46,12 +47,13 @@
         let Some(endpoint) = self.endpoints.get_mut(name) else {
             return;
         };
-        if endpoint.missed_holds >= 2 {
-            log::info!(endpoint:% = name; "endpoint answers again");
+        if endpoint.is_silent() {
+            log::info!(endpoint:% = name, closed_ms = endpoint.reopen_pause_ms; "endpoint answers again");
+            self.changed = true;
         }
         endpoint.hold_ended(true);
         let first_report = !endpoint.reported;
-        endpoint.missed_holds = 0;
+        endpoint.hold_answered(&self.tuning, now);
         endpoint.clock = Some((report.clock_ms, now));
         endpoint.last_end_acked = endpoint.last_end_acked.max(seen);
         // The proof that the first report gives needs its last page of ends.
@@ -253,8 +255,7 @@
         match end.outcome {
             Outcome::Done if !lasting => {
                 if let Some(endpoint) = self.endpoints.get_mut(name) {
-                    endpoint.failed_jobs.clear();
-                    endpoint.quarantine_ms = 0;
+                    endpoint.run_succeeded();
                 }
                 self.unit_done(&placed_run.job, placed_run.unit, now);
             }
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -37,6 +37,16 @@
     pub quarantine_max_ms: u64,
     /// How long an endpoint that refuses starts or cannot be reached gets no new ones, in milliseconds.
     pub start_backoff_ms: u64,
+    /// Pause before an endpoint without runs is asked again after an unanswered hold, in milliseconds; each further one is
+    /// twice as long.
+    pub probe_pause_ms: u64,
+    /// Longest such pause, in milliseconds. Users allow at most 3 s of waiting beside endpoints that are well.
+    pub probe_pause_max_ms: u64,
+    /// How long an endpoint gets no new work when it answers again after its second silence without a successful run
+    /// between, in milliseconds; each further pause is twice as long.
+    pub reopen_pause_ms: u64,
+    /// Longest such pause, in milliseconds.
+    pub reopen_pause_max_ms: u64,
     /// Number of consecutive unanswered holds after which leases are no longer renewed.
     pub missed_holds_max: u32,
     /// How long a unit waits for its preferred endpoints in a pool that is half idle, in milliseconds. Users allow at
@@ -78,6 +88,10 @@
             quarantine_ms: 3_000,
             quarantine_max_ms: 24_000,
             start_backoff_ms: 1_000,
+            probe_pause_ms: 300,
+            probe_pause_max_ms: 1_600,
+            reopen_pause_ms: 250,
+            reopen_pause_max_ms: 1_000,
             missed_holds_max: 6,
             idle_pool_wait_ms: 1_500,
             stall_ms: 2_500,
@@ -94,6 +108,17 @@
 }
 
 impl Tuning {
+    /// Pause after a further unanswered hold of an endpoint that has missed `missed_holds` before, in milliseconds.
+    pub(super) fn probe_pause_ms(&self, missed_holds: u32) -> u64 {
+        let factor = 1_u64.checked_shl(missed_holds).unwrap_or(u64::MAX);
+        self.probe_pause_ms.saturating_mul(factor).min(self.probe_pause_max_ms)
+    }
+
+    /// Pause after the next silence, if the last one was followed by a pause of `pause_ms`.
+    pub(super) fn next_reopen_pause_ms(&self, pause_ms: u64) -> u64 {
+        (pause_ms * 2).clamp(self.reopen_pause_ms, self.reopen_pause_max_ms)
+    }
+
     /// Sets the times of claims for endpoints on which a stop takes up to `stop_ms`.
     #[must_use]
     pub fn with_stop_time(self, stop_ms: u64) -> Self {
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -322,9 +322,10 @@
     if !state.is_leadership_confirmed() {
         return;
     }
+    let now = state.clock.now();
     let dispatcher = state.dispatcher.borrow();
     for (name, endpoint) in dispatcher.endpoints() {
-        let Some(fence) = endpoint.fence.filter(|_| endpoint.wants_hold()) else {
+        let Some(fence) = endpoint.fence.filter(|_| endpoint.wants_hold(now)) else {
             continue;
         };
         if endpoint.entry.address.is_empty() || !state.held_endpoints.borrow_mut().insert((Arc::clone(name), fence)) {
--- a/src/lead/orders.rs
+++ b/src/lead/orders.rs
@@ -170,7 +170,8 @@
         if state.dispatcher.borrow().fence_of(&endpoint) != Some(fence) {
             break;
         }
-        let Ok(report) = answer.inspect_err(|error| state.dispatcher.borrow_mut().hold_failed(&endpoint, error)) else {
+        let Ok(report) = answer.inspect_err(|error| state.dispatcher.borrow_mut().hold_failed(&endpoint, error, now))
+        else {
             state.wake.notify_one();
             sleep(UNANSWERED_HOLD_PAUSE).await;
             continue;
--- a/tests/dispatch/incarnation.rs
+++ b/tests/dispatch/incarnation.rs
@@ -232,7 +232,7 @@
 
     next_seen(&mut world);
     let lost = OrderError::Unknown("lost".to_owned());
-    world.dispatcher.hold_failed(&name("e0"), &lost);
+    world.dispatcher.hold_failed(&name("e0"), &lost, world.now);
     next_seen(&mut world);
     world.report("e0", &[("job.0.0.1", 1, 60.0)], &ends);
     next_seen(&mut world);
--- a/tests/dispatch/lease_bounds.rs
+++ b/tests/dispatch/lease_bounds.rs
@@ -134,7 +134,7 @@
         let hold = world.dispatcher.hold(&endpoint, world.now).expect("a hold");
         renewals.push(hold.lease_end.is_some());
         let error = OrderError::Unknown("no answer".to_owned());
-        world.dispatcher.hold_failed(&endpoint, &error);
+        world.dispatcher.hold_failed(&endpoint, &error, world.now);
     }
     let bounds = stored_by(&mut world);
 
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -18,6 +18,7 @@
 mod odd_jobs;
 mod odd_reports;
 mod preempt;
+mod probes;
 mod soak;
 mod store;
 mod store_failure;
--- a/tests/dispatch/no_answer.rs
+++ b/tests/dispatch/no_answer.rs
@@ -23,7 +23,7 @@
     let mut again = Vec::new();
     for _ in 0..60 {
         if world.dispatcher.hold(&lost, world.now).is_some() {
-            world.dispatcher.hold_failed(&lost, &unreachable());
+            world.dispatcher.hold_failed(&lost, &unreachable(), world.now);
         }
         again = world.advance(250);
         if !again.is_empty() {
@@ -46,7 +46,7 @@
     assert!(world.dispatcher.hold(&lost, world.now).is_some());
     world
         .dispatcher
-        .hold_failed(&lost, &OrderError::Unknown("cut".to_owned()));
+        .hold_failed(&lost, &OrderError::Unknown("cut".to_owned()), world.now);
 
     // The hold may have renewed the lease for 10 s from the time at which it was sent.
     let again = world.advance(9_900);
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -510,7 +510,7 @@
     }
 
     fn hold_failed(&mut self, endpoint: &Arc<str>, error: &OrderError) {
-        self.dispatcher.hold_failed(endpoint, error);
+        self.dispatcher.hold_failed(endpoint, error, self.now);
         self.next_holds
             .insert(Arc::clone(endpoint), self.now + UNANSWERED_HOLD_PAUSE_MS);
     }
--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -7,4 +7,5 @@
 mod monitor;
 mod odd_rows;
 mod store;
+mod unwell;
 mod world;
