Refuse late submissions of jobs that were cancelled as unknown

What callers saw: a job ran seconds after its cancelling had been answered with 410, no such job.

Cause: the store may apply a write without an answer seconds later. The cancelling of a job whose submission is in that state found nothing, and wrote nothing that would keep the submission from taking effect.

Change: cancelling an unknown job writes a row for its id and team, in the partition of the job, if the job isn't stored. A submission is stored only if there is no such row. The store applies only one of the two, whatever their order.

--- a/src/intake/denial.rs
+++ b/src/intake/denial.rs
@@ -20,6 +20,12 @@
     /// No such job was accepted.
     #[error("no such job")]
     NoJob,
+    /// The job was cancelled before it arrived.
+    #[error("the job was cancelled before it arrived")]
+    Withdrawn,
+    /// The team has cancelled too many jobs that are not known; nothing was done.
+    #[error("too many cancellations of unknown jobs")]
+    TooMany,
     /// The job graph is not valid.
     #[error("the job is not valid")]
     BadJob,
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -10,6 +10,7 @@
 mod follow;
 mod service;
 mod stop_signal;
+mod withdrawal_limit;
 
 pub use admission::Admission;
 pub use config_view::ConfigView;
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -1,5 +1,6 @@
 //! Handles the requests of callers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,9 +8,10 @@
 use prost::Message;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::withdrawal_limit::WithdrawalLimit;
 use super::{Admission, ConfigView, Denial};
 use crate::graph::{JobGraph, Phase, Submission};
-use crate::lead::{CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, decode_phase, intake_partition};
+use crate::lead::{CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, decode_phase, intake_partition, withdrawal_key};
 use crate::net::wall_ms;
 use crate::port::{Commit, Range, Row, RowKey, RowStore, StoreError};
 
@@ -29,6 +31,25 @@
     rows: R,
     view: Rc<ConfigView>,
     hints: Rc<Hints>,
+    withdrawals: RefCell<WithdrawalLimit>,
+}
+
+/// Outcome of a conditional write.
+#[derive(Debug)]
+enum Written {
+    Applied,
+    /// A row has another version than expected; holds the present versions.
+    Conflict(Vec<(RowKey, u64)>),
+}
+
+impl Written {
+    /// Whether the write was in conflict with an existing row of this key.
+    fn found(&self, key: &RowKey) -> bool {
+        match self {
+            Self::Applied => false,
+            Self::Conflict(versions) => versions.iter().any(|(found, version)| found == key && *version > 0),
+        }
+    }
 }
 
 impl<R> JobService<R>
@@ -37,7 +58,12 @@
 {
     /// Creates a service on the store `rows`.
     pub fn new(rows: R, view: Rc<ConfigView>, hints: Rc<Hints>) -> Self {
-        Self { rows, view, hints }
+        Self {
+            rows,
+            view,
+            hints,
+            withdrawals: RefCell::default(),
+        }
     }
 
     /// The instance's copy of the configuration.
@@ -90,14 +116,18 @@
             graph,
             accepted_ms: wall_ms(),
         };
+        let (job, withdrawal) = (RowKey::new(INTAKE, id), withdrawal_key(id, &admission.team));
         let commit = Commit {
             partition: intake_partition(id),
-            expect: vec![(RowKey::new(INTAKE, id), 0)],
-            put: vec![(RowKey::new(INTAKE, id), submission.encode_to_vec())],
+            expect: vec![(job.clone(), 0), (withdrawal.clone(), 0)],
+            put: vec![(job.clone(), submission.encode_to_vec())],
             remove: Vec::new(),
         };
-        // A conflict means that the job was accepted before: the caller chooses the id, so it is the same job.
-        self.write(&commit, deadline).await?;
+        let written = self.write(&commit, deadline).await?;
+        if written.found(&withdrawal) && !written.found(&job) {
+            return Err(Denial::Withdrawn);
+        }
+        // Another conflict means that the job was accepted before: the caller chooses the id, so it is the same job.
         self.hints.send(id);
         Ok(())
     }
@@ -124,11 +154,40 @@
         Ok(phase)
     }
 
-    /// Cancels a job.
+    /// Cancels a job. A job that is not known is withdrawn: it will not be accepted later, either.
     pub async fn cancel(&self, admission: &Admission, id: &str, deadline: Instant) -> Result<(), Denial> {
-        if self.phase(admission, id, deadline).await?.is_final() {
-            return Ok(());
+        loop {
+            match self.phase(admission, id, deadline).await {
+                Ok(phase) if phase.is_final() => return Ok(()),
+                Ok(_) => return self.write_cancellation(id, deadline).await,
+                Err(Denial::NoJob) => {}
+                Err(denial) => return Err(denial),
+            }
+            if self.withdraw(admission, id, deadline).await? {
+                return Err(Denial::NoJob);
+            }
+            // The job has been stored since it was looked up.
+        }
+    }
+
+    /// Makes the store refuse submissions of a job by this team, also those that are under way, unless it is stored;
+    /// returns whether it is not.
+    async fn withdraw(&self, admission: &Admission, id: &str, deadline: Instant) -> Result<bool, Denial> {
+        if !self.withdrawals.borrow_mut().take(&admission.team, Instant::now()) {
+            return Err(Denial::TooMany);
         }
+        let commit = Commit {
+            partition: intake_partition(id),
+            expect: vec![(RowKey::new(INTAKE, id), 0)],
+            // Written anew by each call, so that the row is kept long enough after the last one.
+            put: vec![(withdrawal_key(id, &admission.team), b"x".to_vec())],
+            remove: Vec::new(),
+        };
+        Ok(matches!(self.write(&commit, deadline).await?, Written::Applied))
+    }
+
+    /// Writes the cancellation of a job that is stored.
+    async fn write_cancellation(&self, id: &str, deadline: Instant) -> Result<(), Denial> {
         let row_name = format!("{id}{CANCEL_SUFFIX}");
         let key = RowKey::new(INTAKE, &*row_name);
         let commit = Commit {
@@ -180,13 +239,14 @@
         }
     }
 
-    /// Retries a conditional write until its outcome is known. A conflict counts as success.
-    async fn write(&self, commit: &Commit, deadline: Instant) -> Result<(), Denial> {
+    /// Retries a conditional write until its outcome is known.
+    async fn write(&self, commit: &Commit, deadline: Instant) -> Result<Written, Denial> {
         let mut unanswered = false;
         let give_up_at = (Instant::now() + DECLINED_RETRY_TIME).min(deadline);
         loop {
             match timeout_at(deadline, self.rows.commit(commit)).await {
-                Ok(Ok(_) | Err(StoreError::Conflict(_))) => return Ok(()),
+                Ok(Ok(_)) => return Ok(Written::Applied),
+                Ok(Err(StoreError::Conflict(versions))) => return Ok(Written::Conflict(versions)),
                 Ok(Err(StoreError::Declined(_))) => {}
                 Ok(Err(error)) => {
                     log::debug!(error:% = error; "no answer to a write; retrying");
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -19,6 +19,7 @@
 use super::state::LeaderState;
 use super::tables::{BOUNDS, JOB, LEARNED, LEDGER, PHASE, RECORD, decode_phase};
 use super::transaction::{Transaction, TransactionBuilder};
+use super::withdrawals::remove_expired_withdrawals;
 use super::{Candidate, LedgerEntry, StoredBounds, orders};
 use crate::dispatch::{Dispatcher, Learned, Snapshot};
 use crate::graph::{JobRecord, Phase};
@@ -86,6 +87,7 @@
     ));
     tasks.spawn_local(follow_offers(candidate.clone(), Rc::clone(&state)));
     tasks.spawn_local(remove_expired_jobs(candidate.clone(), Rc::clone(&state)));
+    tasks.spawn_local(remove_expired_withdrawals(candidate.clone()));
     candidate.hints.set_leader(candidate.hints.address());
     tasks.spawn_local(follow_hints(candidate.clone(), Rc::clone(&state)));
     tasks.spawn_local(monitor_overload(Rc::clone(&state)));
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -23,6 +23,7 @@
 mod stored_bounds;
 mod tables;
 mod transaction;
+mod withdrawals;
 
 pub use election::{Candidate, Timing, run};
 pub use heartbeat::Heartbeat;
@@ -33,6 +34,6 @@
 pub use overload::OverloadDetector;
 pub use stored_bounds::{StoredBound, StoredBounds};
 pub use tables::{
-    BOUNDS, CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, decode_phase, encode_phase,
-    intake_partition,
+    BOUNDS, CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, WITHDRAWN, decode_phase,
+    encode_phase, intake_partition, withdrawal_key,
 };
--- a/src/lead/tables.rs
+++ b/src/lead/tables.rs
@@ -5,6 +5,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::graph::Phase;
+use crate::port::RowKey;
 
 /// Accepted jobs by id, written by the instance that accepted them; a row whose key ends with [`CANCEL_SUFFIX`] cancels
 /// the job with that id.
@@ -13,6 +14,10 @@
 /// Suffix that turns a job id into the key of its cancellation.
 pub const CANCEL_SUFFIX: &str = ".x";
 
+/// Cancellations of jobs that were not known, by [`withdrawal_key`]; written by the instance that accepted them. While
+/// such a row is there, the store applies no submission of the job by that team.
+pub const WITHDRAWN: &str = "withdrawn";
+
 /// Submissions by job id, copied from [`INTAKE`] by the leader, so that the next leader can resume known jobs without
 /// reading the partitions of [`INTAKE`].
 pub const JOB: &str = "job";
@@ -54,6 +59,17 @@
     (0..INTAKE_PARTITIONS).map(|number| Arc::from(number.to_string()))
 }
 
+/// Key of the row of [`WITHDRAWN`] for a job and a team, in the partition of the job. The digest of the team's name has the
+/// same length for all teams, since the length of keys is limited.
+pub fn withdrawal_key(id: &str, team: &str) -> RowKey {
+    let digest = Sha256::digest(team.as_bytes());
+    let team = digest
+        .iter()
+        .take(8)
+        .fold(0_u64, |number, byte| number << 8 | u64::from(*byte));
+    RowKey::new(WITHDRAWN, format!("{id}.{team:016x}"))
+}
+
 /// Encodes the value of a row of [`PHASE`].
 pub fn encode_phase(phase: Phase, team: &str) -> Vec<u8> {
     let mut value = vec![phase.code()];
--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -8,4 +8,5 @@
 mod odd_rows;
 mod store;
 mod unwell;
+mod withdrawals;
 mod world;
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -31,6 +31,8 @@
     declined_commits: u64,
     /// Table for which the next transaction that writes to it panics.
     panic_table: Option<Arc<str>>,
+    /// Table for which the next transaction that writes to it is applied late and not answered, and by how much.
+    late_table: Option<(Arc<str>, Duration)>,
     /// Additional delay of the answer to the next transaction.
     answer_delay: Duration,
     /// Additional delay of the answers to reads of partitions.
@@ -64,6 +66,7 @@
             slowdown: 1,
             declined_commits: 0,
             panic_table: None,
+            late_table: None,
             answer_delay: Duration::ZERO,
             read_delay: Duration::ZERO,
             history_gone: false,
@@ -135,6 +138,21 @@
         self.state.borrow_mut().panic_table = Some(Arc::from(table));
     }
 
+    /// Applies the next transaction that writes to a table `ms` later, if its condition still holds then, and never answers
+    /// it.
+    pub fn apply_next_write_late(&self, table: &str, ms: u64) {
+        self.state.borrow_mut().late_table = Some((Arc::from(table), Duration::from_millis(ms)));
+    }
+
+    /// Takes the delay of a transaction that is applied late.
+    fn take_delay(&self, commit: &Commit) -> Option<Duration> {
+        let mut state = self.state.borrow_mut();
+        let (table, delay) = state.late_table.clone()?;
+        commit.put.iter().find(|(key, _)| key.table == table)?;
+        state.late_table = None;
+        Some(delay)
+    }
+
     /// Number of transactions that were declined because of the backlog.
     pub fn declined_commits(&self) -> u64 {
         self.state.borrow().declined_commits
@@ -236,6 +254,15 @@
 
 impl RowStore for MemoryStore {
     async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+        if let Some(delay) = self.take_delay(commit) {
+            let (store, commit) = (self.clone(), commit.clone());
+            spawn_local(async move {
+                sleep(delay).await;
+                // The caller never learns of a conflict, either.
+                let _ = store.apply(&commit);
+            });
+            std::future::pending::<()>().await;
+        }
         let (due, answer_delay) = {
             let mut state = self.state.borrow_mut();
             if state.blocked_partitions.contains(&commit.partition) {
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -165,10 +165,10 @@
     store.put(RECORD, id, record);
 }
 
-fn admission(id: &str) -> Admission {
+fn admission(team: &str, id: &str) -> Admission {
     Admission {
         queue: queue(),
-        team: Arc::from(""),
+        team: Arc::from(team),
         subpath: Arc::from(id),
     }
 }
@@ -268,12 +268,22 @@
 
     /// Cancels a job.
     pub async fn cancel(&self, id: &str) -> Result<(), Denial> {
-        self.jobs.cancel(&admission(id), id, deadline()).await
+        self.cancel_as("", id).await
+    }
+
+    /// Cancels a job of a team.
+    pub async fn cancel_as(&self, team: &str, id: &str) -> Result<(), Denial> {
+        self.jobs.cancel(&admission(team, id), id, deadline()).await
     }
 
     /// Submits a job with one task.
     pub async fn submit(&self, id: &str) -> Result<(), Denial> {
-        self.jobs.submit(&admission(id), id, graph(), deadline()).await
+        self.submit_as("", id).await
+    }
+
+    /// Submits a job of a team.
+    pub async fn submit_as(&self, team: &str, id: &str) -> Result<(), Denial> {
+        self.jobs.submit(&admission(team, id), id, graph(), deadline()).await
     }
 }
 
