Remember cancellations that are read before their jobs

What callers would see: a job runs after its cancelling was acknowledged with 200.

Cause: the leader forgot a cancellation of a job that it didn't know. After the store has dropped its history, the leader reads the partitions anew while the change feed goes on. A read that began before the cancelling may be answered after the feed has delivered the cancellation, and brings the job without it. The same holds for partitions that a new leader reads late.

Change: the leader remembers the ids of the cancellations it has read until the rows of the job are removed, and applies them when it takes up the job.

Evidence: without the look-up the new test fails with panicked at tests/lead/withdrawals.rs:180:9: left: Some((Queued, "")), right: Some((Cancelled, "")) It was not seen on the bench.

--- a/src/lead/cleanup.rs
+++ b/src/lead/cleanup.rs
@@ -54,6 +54,9 @@
             match candidate.rows.commit(&commit).await {
                 Ok(version) => {
                     log::info!(jobs = ids.len(); "removed intake rows of ended jobs after the retention time");
+                    for id in &ids {
+                        state.cancelled_jobs.borrow_mut().remove(id);
+                    }
                     let removed = ids.iter().map(|id| (Arc::clone(id), version));
                     state.removed_at.borrow_mut().extend(removed);
                     state.jobs_to_remove.borrow_mut().extend(ids);
--- a/src/lead/feeds.rs
+++ b/src/lead/feeds.rs
@@ -56,12 +56,6 @@
     dispatcher.submit(&row.key, submission, record, phase, age_ms, now);
 }
 
-fn cancel_from_row(dispatcher: &mut Dispatcher, row: &Row, now: u64) {
-    if let Some(id) = row.key.strip_suffix(CANCEL_SUFFIX).filter(|_| row.value.is_some()) {
-        dispatcher.cancel(id, now);
-    }
-}
-
 pub(super) fn update_endpoint_from_row<R, O, E>(
     candidate: &Candidate<R, O, E>,
     state: &LeaderState,
@@ -182,13 +176,23 @@
 fn submit_and_cancel(state: &LeaderState, rows: &[Row], now: u64) {
     let mut dispatcher = state.dispatcher.borrow_mut();
     let rows: Vec<&Row> = rows.iter().filter(|row| !is_removed(state, row)).collect();
+    let mut cancelled_jobs = state.cancelled_jobs.borrow_mut();
     for row in &rows {
-        if !row.key.ends_with(CANCEL_SUFFIX) && state.known_jobs.borrow_mut().insert(Arc::clone(&row.key)) {
-            submit_from_row(&mut dispatcher, row, None, Phase::Queued, now);
-        }
+        let Some(id) = row.key.strip_suffix(CANCEL_SUFFIX) else {
+            continue;
+        };
+        cancelled_jobs.insert(Arc::from(id));
+        dispatcher.cancel(id, now);
     }
     for row in &rows {
-        cancel_from_row(&mut dispatcher, row, now);
+        if row.key.ends_with(CANCEL_SUFFIX) || !state.known_jobs.borrow_mut().insert(Arc::clone(&row.key)) {
+            continue;
+        }
+        submit_from_row(&mut dispatcher, row, None, Phase::Queued, now);
+        // The change feed may deliver the cancellation before a slow read of the partition delivers the job.
+        if cancelled_jobs.contains(&row.key) {
+            dispatcher.cancel(&row.key, now);
+        }
     }
 }
 
--- a/src/lead/state.rs
+++ b/src/lead/state.rs
@@ -34,6 +34,8 @@
     pub held_endpoints: RefCell<BTreeSet<(Arc<str>, u64)>>,
     /// Jobs whose rows have been read; a restarted change feed lists them again.
     pub known_jobs: RefCell<BTreeSet<Arc<str>>>,
+    /// Jobs whose cancellations have been read, perhaps before the jobs themselves.
+    pub cancelled_jobs: RefCell<BTreeSet<Arc<str>>>,
     /// When the undecodable entry of an endpoint was last logged, in milliseconds.
     pub rejected_entries: RefCell<BTreeMap<Arc<str>, u64>>,
     /// Versions at which the intake rows of ended jobs were removed, by job; a read that began before may still return
@@ -72,6 +74,7 @@
             leadership_lost: Cell::new(false),
             held_endpoints: RefCell::default(),
             known_jobs: RefCell::default(),
+            cancelled_jobs: RefCell::default(),
             rejected_entries: RefCell::default(),
             removed_at: RefCell::default(),
             confirmed_at: Cell::new(confirmed_at),
--- a/tests/lead/withdrawals.rs
+++ b/tests/lead/withdrawals.rs
@@ -155,3 +155,28 @@
         assert_eq!(instance.submit(ID).await, Err(Denial::Withdrawn));
     });
 }
+
+/// Guards against a job that runs although its cancelling was acknowledged, because the leader read the cancellation before
+/// it read the job: the change feed overtook a read of the partition that had begun before the cancelling.
+#[test]
+fn a_cancellation_that_is_read_before_its_job_holds() {
+    run_in_virtual_time(async {
+        let store = store();
+        let instance = Instance::start(&store, "first", 500);
+        sleep_ms(1_000).await;
+
+        store.silence_feeds(1_000);
+        store.delay_partition_reads(3_000);
+        store.drop_history();
+        instance.submit(ID).await.expect("a store that answers");
+        sleep_ms(1_500).await;
+        store.delay_partition_reads(0);
+        instance.cancel(ID).await.expect("a store that answers");
+        let before = store.value(PHASE, ID);
+        sleep_ms(4_000).await;
+
+        assert_eq!(before, None, "the leader knew the job before it was cancelled");
+        let phase = store.value(PHASE, ID).expect("a phase");
+        assert_eq!(decode_phase(&phase), Some((Phase::Cancelled, "")));
+    });
+}
