Count submissions in the size of a transaction

What callers saw: after a takeover while large jobs arrived, nothing was started any more, of any queue.

Cause: a transaction of the leader was limited by its rows and by the size of the records of jobs, but not by the size of the submissions that are copied along, up to 64 KiB each. A new leader puts up to 30 into one. The store refuses calls over 1 MB, and the leader sent the same one again.

Change: the size of submissions counts like that of records.

Evidence: the new test fails on the code before with panicked at tests/dispatch/large_jobs.rs:47:5: [2257080] (one transaction of 2.3 MB).

--- a/src/dispatch/persist.rs
+++ b/src/dispatch/persist.rs
@@ -16,15 +16,16 @@
 /// Most rows that one job takes: submission, record and phase.
 const ROWS_PER_JOB: usize = 3;
 
-/// Size of the records in one transaction from which no further job is added, in bytes. A transaction may contain 1 MB.
-const RECORD_BYTES_PER_COMMIT: usize = 256 * 1024;
+/// Size of the submissions and records in one transaction from which no further job is added, in bytes. A transaction may
+/// contain 1 MB in Base64, and the two rows of the last job may have 64 KiB each.
+const JOB_BYTES_PER_COMMIT: usize = 256 * 1024;
 
 impl Dispatcher {
     /// Next changes to store, up to the limit of a transaction; `None` if there are none.
     pub fn snapshot(&mut self) -> Option<Snapshot> {
         let mut snapshot = Snapshot::default();
         let (mut rows, mut bytes) = (0, 0);
-        while rows + ROWS_PER_JOB <= ROWS_PER_COMMIT && bytes < RECORD_BYTES_PER_COMMIT {
+        while rows + ROWS_PER_JOB <= ROWS_PER_COMMIT && bytes < JOB_BYTES_PER_COMMIT {
             let Some((position, id)) = self.dirty.pop_first() else {
                 break;
             };
@@ -40,6 +41,7 @@
             };
             rows += 1 + usize::from(write.phase_changed) + usize::from(write.submission.is_some());
             bytes += write.record.encoded_len();
+            bytes += write.submission.as_ref().map_or(0, Message::encoded_len);
             snapshot.jobs.push(write);
         }
         let (ready, waiting) = std::mem::take(&mut self.starts)
--- /dev/null
+++ b/tests/dispatch/large_jobs.rs
@@ -0,0 +1,48 @@
+//! Jobs that are as large as the limits allow.
+
+use prost::Message;
+use yuccaridge::dispatch::JobWrite;
+use yuccaridge::graph::Step;
+
+use crate::world::{World, step};
+
+/// Largest transaction that the store accepts, in bytes, and the part of it that rows of jobs may take.
+const TRANSACTION_BYTES_MAX: usize = 1_000_000;
+const OTHER_ROWS_BYTES_MAX: usize = 100_000;
+
+/// A job of 400 steps whose submission takes almost a whole row.
+fn steps_of_a_large_job() -> Vec<Step> {
+    let large = Step {
+        label: "a label that makes the submission large: ".repeat(3),
+        ..step(1, 1, 1_000)
+    };
+    vec![large; 400]
+}
+
+/// Size of the rows of a job in a transaction, in Base64.
+fn base64_len(write: &JobWrite) -> usize {
+    let submission = write.submission.as_ref().map_or(0, Message::encoded_len);
+    (submission.div_ceil(3) + write.record.encoded_len().div_ceil(3)) * 4
+}
+
+/// Guards against a leader that is lost for good because its transaction exceeds the limit of the store: after a takeover,
+/// up to 30 large jobs went into one, the store refused it, and the same transaction was sent again and again.
+#[test]
+fn large_jobs_are_stored_in_several_transactions() {
+    let mut world = World::new(1);
+    for index in 0..30 {
+        world.submit(&format!("job{index}"), "normal", steps_of_a_large_job());
+    }
+
+    let (mut sizes, mut jobs) = (Vec::new(), 0);
+    while let Some(snapshot) = world.dispatcher.snapshot() {
+        sizes.push(snapshot.jobs.iter().map(base64_len).sum::<usize>());
+        jobs += snapshot.jobs.len();
+        world.dispatcher.stored(snapshot, world.now);
+    }
+
+    assert_eq!(jobs, 30);
+    assert!(sizes.iter().sum::<usize>() > 2 * TRANSACTION_BYTES_MAX, "{sizes:?}");
+    let most = TRANSACTION_BYTES_MAX - OTHER_ROWS_BYTES_MAX;
+    assert!(sizes.iter().all(|size| *size <= most), "{sizes:?}");
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod gang;
 mod idle;
 mod incarnation;
+mod large_jobs;
 mod lease_bounds;
 mod no_answer;
 mod odd_entries;
