Place the units of a job only while its record fits a row

What callers saw: one job of 1,000 tasks with checkpoints stopped all scheduling until enough of its tasks had ended.

Cause: the limit on the number of tasks keeps the record below the row limit of 64 KiB only if endpoints have short names. The store refused the leader's transactions because of this one row.

The checkpoint of a unit that is done isn't stored any more; nobody resumes from it.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -33,6 +33,7 @@
 mod preempt;
 mod probe_slots;
 mod rank;
+mod record_room;
 mod report;
 mod reservation;
 mod round;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -15,6 +15,7 @@
 use super::pool_view::PoolView;
 use super::preempt::apply_claim;
 use super::rank::Rank;
+use super::record_room::RecordRoom;
 use super::round_cache::RoundCache;
 use super::speed;
 use super::{Dispatcher, Endpoint, EndpointView, Job, Member, MemberState, Start, UnitState, WorkEstimates};
@@ -136,6 +137,7 @@
         let mut idle_steps: BTreeSet<(u32, usize)> = BTreeSet::new();
         let mut requests: BTreeMap<(u32, usize), Vec<Arc<str>>> = BTreeMap::new();
         let waiting: Vec<usize> = self.jobs[id].index.waiting.iter().copied().collect();
+        let mut record_room = RecordRoom::of(&self.jobs[id], views);
         for (offset, position) in waiting.iter().copied().enumerate() {
             let job = &self.jobs[id];
             let unit = &job.units[position];
@@ -153,6 +155,13 @@
             {
                 continue;
             }
+            let recordable = record_room
+                .as_ref()
+                .map_or(usize::MAX, |room| room.units(job, position));
+            if recordable == 0 {
+                unplaceable.insert(step_key);
+                continue;
+            }
             let claim = self.claims.get(&(Arc::clone(id), position)).cloned();
             if claim.is_none() && self.is_hopeless(id, position, views, cache, &rank) {
                 unplaceable.insert(step_key);
@@ -169,12 +178,19 @@
                 // On a slow endpoint it would be late and occupy its resources for longer.
                 demand.min_speed = views.slow_below();
             }
-            let alike = if claim.is_none() {
+            let mut alike = if claim.is_none() {
                 self.units_alike(id, &waiting[offset..], now)
             } else {
                 vec![position]
             };
+            alike.truncate(recordable);
             let chosen = place::place_alike(views, &demand, &alike);
+            if let Some(room) = &mut record_room {
+                // Without a place now, the unit may still be placed in another way below.
+                for position in alike.iter().take(chosen.len().max(1)) {
+                    room.take(&self.jobs[id], *position);
+                }
+            }
             if !chosen.is_empty() {
                 for (position, chosen) in chosen {
                     self.claims.remove(&(Arc::clone(id), position));
@@ -201,18 +217,9 @@
             }
             if unit.avoid.is_empty() {
                 unplaceable.insert(step_key);
-            } else {
-                // If no other endpoint can ever hold the unit, those on which it failed are allowed again.
-                let relaxed = Demand {
-                    avoid: &AVOID_NONE,
-                    ..self.demand(views, id, position, &rank, now)
-                };
-                if views.iter().all(|view| demand.allowed_tasks(view, &view.capacity) == 0)
-                    && let Some(chosen) = place::place(views, &relaxed)
-                {
-                    self.start_unit(id, position, views, &chosen, now);
-                    continue;
-                }
+            } else if let Some(chosen) = self.place_where_it_failed(views, &demand, id, position, &rank, now) {
+                self.start_unit(id, position, views, &chosen, now);
+                continue;
             }
             if let Some(claim) = &claim {
                 apply_claim(views, claim, false);
@@ -227,11 +234,35 @@
         for (step_key, endpoints) in requests {
             self.request_advice(id, step_key, endpoints, now);
         }
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.idle_since.retain(|step_key, _| idle_steps.contains(step_key));
-            for step_key in idle_steps {
-                job.idle_since.entry(step_key).or_insert(now);
-            }
+        self.note_idle_steps(id, &idle_steps, now);
+    }
+
+    /// Chooses among all endpoints for a unit if none on which it has not failed can ever meet its `demand`.
+    fn place_where_it_failed(
+        &self,
+        views: &PoolView,
+        demand: &Demand<'_>,
+        id: &Arc<str>,
+        position: usize,
+        rank: &Rank,
+        now: u64,
+    ) -> Option<Vec<usize>> {
+        if views.iter().any(|view| demand.allowed_tasks(view, &view.capacity) > 0) {
+            return None;
+        }
+        let relaxed = Demand {
+            avoid: &AVOID_NONE,
+            ..self.demand(views, id, position, rank, now)
+        };
+        place::place(views, &relaxed)
+    }
+
+    /// Notes which steps of a job wait beside an idle half of their pool.
+    fn note_idle_steps(&mut self, id: &Arc<str>, steps: &BTreeSet<(u32, usize)>, now: u64) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.idle_since.retain(|step_key, _| steps.contains(step_key));
+        for step_key in steps {
+            job.idle_since.entry(*step_key).or_insert(now);
         }
     }
 
--- a/src/dispatch/unit.rs
+++ b/src/dispatch/unit.rs
@@ -6,6 +6,12 @@
 use super::{Member, MemberState};
 use crate::graph::{Place, UnitRecord};
 
+/// Bound on the size of a unit in the record of its job without its checkpoint and places, in bytes.
+const UNIT_BYTES: usize = 28;
+
+/// Bound on the size of a place without the name of the endpoint, in bytes.
+const PLACE_BYTES: usize = 28;
+
 /// State of a unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UnitState {
@@ -122,16 +128,40 @@
             };
             places.insert(member.index, place);
         }
+        let done = self.state == UnitState::Done;
         Some(UnitRecord {
             position: position as u32,
-            done: self.state == UnitState::Done,
+            done,
             run: self.run,
             failures: self.failures,
-            checkpoint: self.checkpoint.to_string(),
+            checkpoint: if done {
+                String::new()
+            } else {
+                self.checkpoint.to_string()
+            },
             places,
         })
     }
 
+    /// Bound on the size of its record, in bytes.
+    pub(super) fn record_bytes(&self) -> usize {
+        if self.run == 0 && self.state != UnitState::Done {
+            return 0;
+        }
+        if self.state == UnitState::Done {
+            return UNIT_BYTES;
+        }
+        let members = self.members.iter().filter(|member| member.holds_room());
+        let places: usize = members.map(|member| PLACE_BYTES + member.endpoint.len()).sum();
+        UNIT_BYTES + self.checkpoint.len() + places
+    }
+
+    /// Bound on the size of its record while it runs on endpoints with names of up to `name_bytes` bytes, if its
+    /// checkpoint has up to `checkpoint_bytes`.
+    pub(super) fn active_record_bytes(&self, name_bytes: usize, checkpoint_bytes: usize) -> usize {
+        UNIT_BYTES + self.checkpoint.len().max(checkpoint_bytes) + self.size as usize * (PLACE_BYTES + name_bytes)
+    }
+
     /// Whether all members are known to be gone.
     pub fn all_gone(&self) -> bool {
         self.members.iter().all(|member| !member.holds_room())
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -248,6 +248,16 @@
         self.report_as(endpoint, BORN, 0, running, ended);
     }
 
+    /// Reports that the runs of these starts go on and have saved a checkpoint of 16 characters.
+    pub fn report_checkpoints(&mut self, endpoint: &str, starts: &[&Start]) {
+        let running: Vec<_> = starts.iter().map(|start| (&*start.task, start.run, 50.0)).collect();
+        let mut report = self.make_report(BORN, &running, &[]);
+        for run in &mut report.running {
+            run.checkpoint = name("00000bb87a21d94b");
+        }
+        self.dispatcher.report(&name(endpoint), &report, 0, self.now, self.now);
+    }
+
     /// Reports for the incarnation `born` of an endpoint, in answer to a hold with `seen`.
     pub fn report_as(
         &mut self,
