Restart lasting tasks where they failed if there is no other room

What callers saw: a task that lasts was not started again after it had failed once on every endpoint with room.

Cause: a unit avoids the endpoints on which it has failed unless no other endpoint could ever hold it, whether or not the others have room. Tasks that last may fill those for good.

Change: a lasting unit without room elsewhere is placed where it has failed, at the earliest 1.5 s after its last start.

--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -237,7 +237,8 @@
         self.note_idle_steps(id, &idle_steps, now);
     }
 
-    /// Chooses among all endpoints for a unit if none on which it has not failed can ever meet its `demand`.
+    /// Chooses among all endpoints for a unit if none on which it has not failed can ever meet its `demand`, or if its task
+    /// lasts: nobody knows when an endpoint that is full now will have room.
     fn place_where_it_failed(
         &self,
         views: &PoolView,
@@ -247,7 +248,13 @@
         rank: &Rank,
         now: u64,
     ) -> Option<Vec<usize>> {
-        if views.iter().any(|view| demand.allowed_tasks(view, &view.capacity) > 0) {
+        let job = &self.jobs[id];
+        if job.step(position).lasting {
+            let placed_at = job.units[position].placed_at;
+            if now.saturating_sub(placed_at) < self.tuning.lasting_restart_ms {
+                return None;
+            }
+        } else if views.iter().any(|view| demand.allowed_tasks(view, &view.capacity) > 0) {
             return None;
         }
         let relaxed = Demand {
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -52,6 +52,9 @@
     /// How long a unit waits for its preferred endpoints in a pool that is half idle, in milliseconds. Users allow at
     /// most 3 s of waiting while twice the needed resources are free.
     pub idle_pool_wait_ms: u64,
+    /// Least time between two starts of a lasting task on endpoints on which it has failed, in milliseconds. Users allow at
+    /// most 6 s without it.
+    pub lasting_restart_ms: u64,
     /// How long a run may report no progress before it is stopped and placed again, in milliseconds.
     pub stall_ms: u64,
     /// Work that a run with checkpoints loses when it is stopped and resumed, in milliseconds.
@@ -94,6 +97,7 @@
             reopen_pause_max_ms: 1_000,
             missed_holds_max: 6,
             idle_pool_wait_ms: 1_500,
+            lasting_restart_ms: 1_500,
             stall_ms: 2_500,
             resume_loss_ms: 300,
             reclaim_ms: 2_700,
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod idle;
 mod incarnation;
 mod large_jobs;
+mod lasting;
 mod lease_bounds;
 mod no_answer;
 mod odd_entries;
