Log the endpoints on which a unit is placed

The line `unit placed` now names the endpoints of its members.

No test: it is a field of a log line.

--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -478,6 +478,8 @@
             });
         }
         let (run, size) = (unit.run, unit.size);
+        let endpoints: Vec<&str> = unit.members.iter().map(|member| &*member.endpoint).collect();
+        let endpoints = endpoints.join(",");
         if job.phase == Phase::Queued {
             job.phase = Phase::Running;
         }
@@ -486,7 +488,7 @@
         let step = job.step(position);
         let (saves, cores) = (step.checkpoints, core_equivalents(&need));
         let waited_ms = now.saturating_sub(job.accepted_at);
-        log::info!(job:% = id, unit = position, run, size, priority, saves, cores, expected_ms, waited_ms; "unit placed");
+        log::info!(job:% = id, unit = position, run, size, priority, saves, cores, expected_ms, waited_ms, endpoints; "unit placed");
         self.dirty.insert(Arc::clone(id));
     }
 }
