--- a/tests/lead/unwell.rs
+++ b/tests/lead/unwell.rs
@@ -9,7 +9,7 @@
     Advice, AdviceQuery, HoldOrder, OrderError, Orders, Refusal, Report, StartOrder, StopOrder, Target,
 };
 
-use crate::world::{BORN, Instance, SingleQueueEntries, run_in_virtual_time, sleep_ms, store};
+use crate::world::{Instance, SingleQueueEntries, idle_report, run_in_virtual_time, sleep_ms, store};
 
 /// An endpoint that starts what it is told unless it is unwell.
 #[derive(Clone, Default)]
@@ -50,13 +50,7 @@
     async fn hold(&self, _: &Target, order: &HoldOrder) -> Result<Report, OrderError> {
         self.check()?;
         sleep(order.wait + Duration::from_millis(1)).await;
-        Ok(Report {
-            born: Some(BORN),
-            clock_ms: 1,
-            running: Vec::new(),
-            ended: Vec::new(),
-            more_ends: false,
-        })
+        Ok(idle_report())
     }
 }
 
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -35,6 +35,17 @@
     answers_holds: Rc<Cell<bool>>,
 }
 
+/// Report of an endpoint on which nothing runs.
+pub fn idle_report() -> Report {
+    Report {
+        born: Some(BORN),
+        clock_ms: 1,
+        running: Vec::new(),
+        ended: Vec::new(),
+        more_ends: false,
+    }
+}
+
 fn unreachable_endpoint() -> OrderError {
     OrderError::NotSent("no endpoints here".to_owned())
 }
@@ -59,13 +70,7 @@
             return Err(unreachable_endpoint());
         }
         sleep(order.wait + Duration::from_millis(1)).await;
-        Ok(Report {
-            born: Some(BORN),
-            clock_ms: 1,
-            running: Vec::new(),
-            ended: Vec::new(),
-            more_ends: false,
-        })
+        Ok(idle_report())
     }
 }
 
