Count a failed run once, however many of its members fail

A unit now notes whether its last run is among its failures. The note is part of the record, as the ends of two members may be read by two leaders; rows without it decode as before. The next start clears it, so the number of failed runs, and with it the end of the job after `attempts` of them, is the same for single tasks. Each endpoint with a failed member still counts against the health of that endpoint and is avoided by the unit: each has shown a failure of its own.

--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -260,7 +260,7 @@
                 self.unit_done(&placed_run.job, placed_run.unit, now);
             }
             Outcome::Failed => {
-                unit.failures += 1;
+                unit.run_failed();
                 unit.avoid.insert(Arc::clone(name));
                 let can_fail = !lasting && unit.state != UnitState::Done && !job.phase.is_final();
                 let failed = can_fail && unit.failures >= attempts;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -436,7 +436,7 @@
         job.set_state(position, UnitState::Active);
         let unit = &mut job.units[position];
         let tickets = job.tickets.get(&(unit.occurrence, unit.step));
-        unit.run += 1;
+        unit.next_run();
         unit.placed_at = now;
         unit.members.clear();
         for (index, (view_index, task)) in chosen.iter().zip(names).enumerate() {
--- a/src/dispatch/unit.rs
+++ b/src/dispatch/unit.rs
@@ -42,6 +42,8 @@
     pub run: u32,
     /// Number of runs that failed.
     pub failures: u32,
+    /// The last run is one of them.
+    pub last_run_failed: bool,
     /// Newest known checkpoint; empty for none.
     pub checkpoint: Arc<str>,
     /// Members of the last run.
@@ -69,6 +71,7 @@
             state: UnitState::Waiting,
             run: 0,
             failures: 0,
+            last_run_failed: false,
             checkpoint: Arc::from(""),
             members: Vec::new(),
             placed_at: 0,
@@ -86,6 +89,7 @@
     {
         self.run = record.run;
         self.failures = record.failures;
+        self.last_run_failed = record.last_run_failed;
         self.checkpoint = Arc::from(&*record.checkpoint);
         self.placed_at = now;
         for (offset, place) in &record.places {
@@ -134,6 +138,7 @@
             done,
             run: self.run,
             failures: self.failures,
+            last_run_failed: self.last_run_failed,
             checkpoint: if done {
                 String::new()
             } else {
@@ -162,6 +167,18 @@
         UNIT_BYTES + self.checkpoint.len().max(checkpoint_bytes) + self.size as usize * (PLACE_BYTES + name_bytes)
     }
 
+    /// Begins the next run.
+    pub(super) fn next_run(&mut self) {
+        self.run += 1;
+        self.last_run_failed = false;
+    }
+
+    /// Counts the last run as failed, once however many of its members fail.
+    pub(super) fn run_failed(&mut self) {
+        self.failures += u32::from(!self.last_run_failed);
+        self.last_run_failed = true;
+    }
+
     /// Whether all members are known to be gone.
     pub fn all_gone(&self) -> bool {
         self.members.iter().all(|member| !member.holds_room())
--- a/src/graph/unit_record.rs
+++ b/src/graph/unit_record.rs
@@ -25,4 +25,7 @@
     /// Endpoints that may still run members of the last run, by index of the task within the unit.
     #[prost(btree_map = "uint32, message", tag = "6")]
     pub places: std::collections::BTreeMap<u32, Place>,
+    /// The last run is one of those that failed.
+    #[prost(bool, tag = "7")]
+    pub last_run_failed: bool,
 }
--- a/tests/dispatch/ends.rs
+++ b/tests/dispatch/ends.rs
@@ -6,7 +6,7 @@
 use yuccaridge::graph::Phase;
 use yuccaridge::port::{OrderError, Outcome, Refusal};
 
-use crate::world::{BORN, World, config, gang, name, step};
+use crate::world::{BORN, World, gang, name, step};
 
 fn lost() -> OrderError {
     OrderError::Unknown("lost".to_owned())
@@ -120,16 +120,6 @@
     assert_eq!(world.job("job").phase, Phase::Done);
 }
 
-/// Lets a job fail after a single failed run.
-fn allow_one_attempt(world: &mut World) {
-    let mut config = config();
-    config.version += 1;
-    for queue in config.queues.values_mut() {
-        Arc::make_mut(queue).attempts = 1;
-    }
-    world.dispatcher.configure(Arc::new(config));
-}
-
 /// Advances the time until the next start, for at most 20 s.
 fn advance_to_start(world: &mut World) -> Vec<Start> {
     for _ in 0..400 {
@@ -146,7 +136,7 @@
 #[test]
 fn a_failed_run_of_a_unit_that_is_done_fails_no_job() {
     let mut world = World::new(2);
-    allow_one_attempt(&mut world);
+    world.allow_attempts(1);
     world.submit("job", "batch", vec![step(1, 1, 60_000)]);
     let starts = world.advance(50);
     world.confirm(&starts);
@@ -167,7 +157,7 @@
 #[test]
 fn a_failed_run_of_a_cancelled_job_leaves_it_cancelled() {
     let mut world = World::new(1);
-    allow_one_attempt(&mut world);
+    world.allow_attempts(1);
     world.submit("job", "batch", vec![step(1, 1, 60_000)]);
     let starts = world.advance(50);
     world.confirm(&starts);
--- a/tests/dispatch/gang.rs
+++ b/tests/dispatch/gang.rs
@@ -1,8 +1,10 @@
 //! Gangs run as a whole or not at all.
 
+use yuccaridge::dispatch::Start;
+use yuccaridge::graph::Phase;
 use yuccaridge::port::{OrderError, Outcome, Refusal};
 
-use crate::world::{World, gang};
+use crate::world::{BORN, World, gang, name, submission};
 
 /// Guards against stopping a gang as stalled because a member on a fast endpoint is done early and waits for the
 /// others.
@@ -66,3 +68,74 @@
     assert_eq!(again.len(), 2);
     assert!(again.iter().all(|start| start.run == 2));
 }
+
+/// Reports that all these runs have failed; the first end of each endpoint has the number `first`.
+fn fail(world: &mut World, starts: &[Start], first: u64) {
+    let mut endpoints: Vec<_> = starts.iter().map(|start| start.endpoint.clone()).collect();
+    endpoints.dedup();
+    for endpoint in endpoints {
+        let here = starts.iter().filter(|start| start.endpoint == endpoint);
+        let ends: Vec<_> = (first..)
+            .zip(here)
+            .map(|(number, start)| (number, &*start.task, start.run, Outcome::Failed))
+            .collect();
+        world.report(&endpoint, &[], &ends);
+    }
+}
+
+/// Guards against a job that is shown as failed before its attempts are used up, because several members of a gang fail
+/// in one run; and against a further start once they are.
+#[test]
+fn a_run_in_which_several_members_fail_is_one_attempt() {
+    for accelerators in [1, 8] {
+        let mut world = World::new(8);
+        world.allow_attempts(2);
+        world.submit("job", "normal", vec![gang(2, accelerators, 10_000)]);
+
+        let first = world.advance(50);
+        world.confirm(&first);
+        fail(&mut world, &first, 1);
+        let second = world.advance(500);
+        let between = world.job("job").phase;
+        world.confirm(&second);
+        fail(&mut world, &second, 3);
+        let third = world.advance(500);
+
+        assert_eq!(between, Phase::Running, "after one failed run of two");
+        assert_eq!(second.iter().map(|start| start.run).collect::<Vec<_>>(), [2, 2]);
+        assert_eq!(world.job("job").phase, Phase::Failed);
+        assert_eq!(third, []);
+    }
+}
+
+/// Guards against a run that counts as two attempts because the ends of its members are read by two leaders.
+#[test]
+fn a_run_whose_members_fail_around_a_takeover_is_one_attempt() {
+    let mut first = World::new(4);
+    first.submit("job", "normal", vec![gang(2, 8, 10_000)]);
+    let starts = first.advance(50);
+    first.confirm(&starts);
+    first.report(&starts[0].endpoint, &[], &[(1, &*starts[0].task, 1, Outcome::Failed)]);
+    first.advance(50);
+    let record = first.job("job").record.clone();
+
+    let mut second = World::empty();
+    second.allow_attempts(2);
+    for endpoint in ["e0", "e1", "e2", "e3"] {
+        second.enter(endpoint, BORN);
+    }
+    let job = submission("normal", vec![gang(2, 8, 10_000)]);
+    second
+        .dispatcher
+        .submit(&name("job"), job, Some(&record), Phase::Running, 0, second.now);
+    for start in &starts {
+        second.report(&start.endpoint, &[], &[(1, &*start.task, 1, Outcome::Failed)]);
+    }
+    for endpoint in ["e0", "e1", "e2", "e3"] {
+        second.report(endpoint, &[], &[]);
+    }
+    let again = second.advance(500);
+
+    assert_eq!(second.job("job").phase, Phase::Running);
+    assert_eq!(again.iter().map(|start| start.run).collect::<Vec<_>>(), [2, 2]);
+}
--- a/tests/dispatch/takeover.rs
+++ b/tests/dispatch/takeover.rs
@@ -38,6 +38,7 @@
         done: false,
         run: 1,
         failures: 0,
+        last_run_failed: false,
         checkpoint: String::new(),
         places,
     };
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -175,6 +175,16 @@
         );
     }
 
+    /// Lets jobs fail after this number of failed runs.
+    pub fn allow_attempts(&mut self, attempts: u32) {
+        let mut config = config();
+        config.version += 1;
+        for queue in config.queues.values_mut() {
+            Arc::make_mut(queue).attempts = attempts;
+        }
+        self.dispatcher.configure(Arc::new(config));
+    }
+
     /// Advances the time by `span_ms` in turns of the leader; returns the starts sent meanwhile.
     pub fn advance(&mut self, span_ms: u64) -> Vec<Start> {
         let end = self.now + span_ms;
