Store the settings of its queue with an accepted job

The instance that accepts a job now stores the settings that the dispatcher needs (pool, priority, attempts, stretch, slack, terms of advice) with it, and the version of their configuration. A leader whose configuration is at least as new and lacks the queue uses them; one with an older configuration waits for a newer one, as before, so that a worker does not see a queue that the same instance still answers with 404. A configuration that has the queue has precedence. Rows without settings decode as before.

Settings that changed between the acceptance and the removal are not stored again: a later leader uses those of the acceptance.

--- a/benches/dispatch/fleet.rs
+++ b/benches/dispatch/fleet.rs
@@ -213,6 +213,7 @@
                     interval_ms: 0,
                 },
                 accepted_ms: 0,
+                settings: None,
             };
             let now = self.now;
             self.timed("submit", |dispatcher| {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -14,7 +14,7 @@
 use super::reservation::Reservation;
 use super::{Counts, Effect, Endpoint, Hold, Job, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates};
 use crate::graph::{JobRecord, Phase, Submission};
-use crate::port::{EndpointEntry, Resources, SiteConfig};
+use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
 
 /// Decides which task runs where, and when.
 #[derive(Debug)]
@@ -140,8 +140,8 @@
         }
         for job in self.jobs.values_mut() {
             // A job of a removed queue keeps the last known settings of the queue.
-            if let Some(queue) = config.queues.get(&*job.submission.queue) {
-                job.queue = Some(Arc::clone(queue));
+            if job.queue.is_none() || config.queues.contains_key(&*job.submission.queue) {
+                job.queue = queue_of(&config, &job.submission);
             }
         }
         self.config = config;
@@ -165,7 +165,7 @@
         if !job.submission_stored {
             self.dirty.insert(Arc::clone(id));
         }
-        job.queue = self.config.queues.get(&*job.submission.queue).cloned();
+        job.queue = queue_of(&self.config, &job.submission);
         // A former leader may have renewed leases on these endpoints until its own lead ran out.
         let latest_end_at = self.took_over_at + self.tuning.leader_lease_ms + self.longest_lease_ms();
         let fence = self.fence;
@@ -388,6 +388,17 @@
     }
 }
 
+/// Queue of a job by the configuration or, if that has removed the queue, with the settings of its acceptance.
+fn queue_of(config: &SiteConfig, submission: &Submission) -> Option<Arc<Queue>> {
+    if let Some(queue) = config.queues.get(&*submission.queue) {
+        return Some(Arc::clone(queue));
+    }
+    // An older configuration may not have the queue yet.
+    let settings = submission.settings.as_ref();
+    let settings = settings.filter(|settings| settings.config_version <= config.version)?;
+    Some(Arc::new(settings.queue(&submission.queue)))
+}
+
 /// Entry of an endpoint that is known only from a stored record.
 fn placeholder_entry(born: u64) -> EndpointEntry {
     EndpointEntry {
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -19,7 +19,7 @@
     pub team: Arc<str>,
     /// Payload that each task receives.
     pub payload: Arc<str>,
-    /// Last known settings of its queue; `None` if the queue was never configured.
+    /// Last known settings of its queue; `None` before a configuration as new as that of its acceptance.
     pub queue: Option<Arc<Queue>>,
     /// Units of all occurrences, in the order of occurrences and steps.
     pub units: Vec<Unit>,
--- a/src/graph/submission.rs
+++ b/src/graph/submission.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use super::JobGraph;
+use super::{JobGraph, QueueSettings};
 
 /// An accepted job; written once and never changed.
 #[derive(Clone, PartialEq, Message)]
@@ -19,4 +19,7 @@
     /// Time of acceptance, in milliseconds since 1970. Only the age is derived from it, and need not be exact.
     #[prost(uint64, tag = "4")]
     pub accepted_ms: u64,
+    /// Settings of the queue at that time; older rows have none.
+    #[prost(message, optional, tag = "5")]
+    pub settings: Option<QueueSettings>,
 }
--- a/src/intake/admission.rs
+++ b/src/intake/admission.rs
@@ -9,6 +9,8 @@
 pub struct Admission {
     /// Queue that the host and path lead to.
     pub queue: Arc<Queue>,
+    /// Version of the configuration that admitted it.
+    pub config_version: u64,
     /// Team that the key belongs to; empty on an open queue if the key belongs to none.
     pub team: Arc<str>,
     /// Path below that of the queue.
--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -10,7 +10,7 @@
 
 use super::withdrawal_limit::WithdrawalLimit;
 use super::{Admission, ConfigView, Denial};
-use crate::graph::{JobGraph, Phase, Submission};
+use crate::graph::{JobGraph, Phase, QueueSettings, Submission};
 use crate::lead::{CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, decode_phase, intake_partition, withdrawal_key};
 use crate::net::wall_ms;
 use crate::port::{Commit, Range, Row, RowKey, RowStore, StoreError};
@@ -93,6 +93,7 @@
         };
         Ok(Admission {
             queue: Arc::clone(queue),
+            config_version: config.version,
             team,
             subpath: Arc::from(subpath),
         })
@@ -115,6 +116,7 @@
             team: admission.team.to_string(),
             graph,
             accepted_ms: wall_ms(),
+            settings: Some(QueueSettings::of(&admission.queue, admission.config_version)),
         };
         let (job, withdrawal) = (RowKey::new(INTAKE, id), withdrawal_key(id, &admission.team));
         let commit = Commit {
--- a/tests/dispatch/ends.rs
+++ b/tests/dispatch/ends.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use yuccaridge::dispatch::Start;
 use yuccaridge::graph::Phase;
 use yuccaridge::port::{OrderError, Outcome, Refusal};
 
@@ -120,17 +119,6 @@
     assert_eq!(world.job("job").phase, Phase::Done);
 }
 
-/// Advances the time until the next start, for at most 20 s.
-fn advance_to_start(world: &mut World) -> Vec<Start> {
-    for _ in 0..400 {
-        let starts = world.advance(50);
-        if !starts.is_empty() {
-            return starts;
-        }
-    }
-    Vec::new()
-}
-
 /// Guards against a job that is shown as failed after it was shown as done: a newer run of it fails while it is being
 /// stopped.
 #[test]
@@ -142,7 +130,7 @@
     world.confirm(&starts);
     let given_up = Arc::clone(&starts[0].endpoint);
     world.dispatcher.update_endpoint(&given_up, None, world.now);
-    let newer = advance_to_start(&mut world);
+    let newer = world.advance_to_start();
     world.confirm(&newer);
     world.enter(&given_up, BORN);
 
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -21,6 +21,7 @@
 mod odd_reports;
 mod preempt;
 mod probes;
+mod removed_queue;
 mod soak;
 mod store;
 mod store_failure;
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -129,6 +129,7 @@
             interval_ms: 0,
         },
         accepted_ms: 0,
+        settings: None,
     }
 }
 
@@ -199,6 +200,17 @@
         self.starts[before..].to_vec()
     }
 
+    /// Advances the time until the next start, for at most 20 s.
+    pub fn advance_to_start(&mut self) -> Vec<Start> {
+        for _ in 0..400 {
+            let starts = self.advance(50);
+            if !starts.is_empty() {
+                return starts;
+            }
+        }
+        Vec::new()
+    }
+
     /// Takes one turn after the least time between two scheduling rounds.
     pub fn round(&mut self) {
         self.now += 10;
--- a/tests/lead/odd_rows.rs
+++ b/tests/lead/odd_rows.rs
@@ -62,6 +62,7 @@
             ..JobGraph::default()
         },
         accepted_ms: 0,
+        settings: None,
     }
 }
 
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -74,7 +74,8 @@
     }
 }
 
-/// A configuration with one queue, open to everyone; each row of the endpoint table is an endpoint.
+/// A configuration with one queue, open to everyone, or a later one without it; each row of the endpoint table is an
+/// endpoint.
 #[derive(Clone)]
 pub struct SingleQueueEntries;
 
@@ -87,7 +88,7 @@
         "endpoints"
     }
 
-    fn decode_config(&self, _: &Row) -> Result<Option<SiteConfig>, String> {
+    fn decode_config(&self, row: &Row) -> Result<Option<SiteConfig>, String> {
         let mut config = SiteConfig {
             version: 1,
             ..SiteConfig::default()
@@ -98,6 +99,9 @@
             standby: false,
         };
         config.pools.insert(Arc::clone(&queue.pool), pool);
+        if row.value.as_deref() == Some(b"no queue") {
+            return Ok(Some(SiteConfig { version: 2, ..config }));
+        }
         config.queues.insert(Arc::clone(&queue.name), queue);
         Ok(Some(config))
     }
@@ -164,6 +168,7 @@
         team: String::new(),
         graph: graph(),
         accepted_ms: 0,
+        settings: None,
     };
     store.put(JOB, id, submission.encode_to_vec());
     store.put(PHASE, id, phase);
@@ -173,6 +178,7 @@
 fn admission(team: &str, id: &str) -> Admission {
     Admission {
         queue: queue(),
+        config_version: 1,
         team: Arc::from(team),
         subpath: Arc::from(id),
     }
