--- a/tests/dispatch/ends.rs
+++ b/tests/dispatch/ends.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
-use yuccaridge::dispatch::Start;
 use yuccaridge::graph::Phase;
 use yuccaridge::port::{OrderError, Outcome, Refusal};
 
-use crate::world::{BORN, World, config, gang, name, step};
+use crate::world::{BORN, World, gang, name, step};
 
 fn lost() -> OrderError {
     OrderError::Unknown("lost".to_owned())
@@ -120,39 +119,18 @@
     assert_eq!(world.job("job").phase, Phase::Done);
 }
 
-/// Lets a job fail after a single failed run.
-fn allow_one_attempt(world: &mut World) {
-    let mut config = config();
-    config.version += 1;
-    for queue in config.queues.values_mut() {
-        Arc::make_mut(queue).attempts = 1;
-    }
-    world.dispatcher.configure(Arc::new(config));
-}
-
-/// Advances the time until the next start, for at most 20 s.
-fn advance_to_start(world: &mut World) -> Vec<Start> {
-    for _ in 0..400 {
-        let starts = world.advance(50);
-        if !starts.is_empty() {
-            return starts;
-        }
-    }
-    Vec::new()
-}
-
 /// Guards against a job that is shown as failed after it was shown as done: a newer run of it fails while it is being
 /// stopped.
 #[test]
 fn a_failed_run_of_a_unit_that_is_done_fails_no_job() {
     let mut world = World::new(2);
-    allow_one_attempt(&mut world);
+    world.allow_attempts(1);
     world.submit("job", "batch", vec![step(1, 1, 60_000)]);
     let starts = world.advance(50);
     world.confirm(&starts);
     let given_up = Arc::clone(&starts[0].endpoint);
     world.dispatcher.update_endpoint(&given_up, None, world.now);
-    let newer = advance_to_start(&mut world);
+    let newer = world.advance_to_start();
     world.confirm(&newer);
     world.enter(&given_up, BORN);
 
@@ -167,7 +145,7 @@
 #[test]
 fn a_failed_run_of_a_cancelled_job_leaves_it_cancelled() {
     let mut world = World::new(1);
-    allow_one_attempt(&mut world);
+    world.allow_attempts(1);
     world.submit("job", "batch", vec![step(1, 1, 60_000)]);
     let starts = world.advance(50);
     world.confirm(&starts);
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -129,6 +129,7 @@
             interval_ms: 0,
         },
         accepted_ms: 0,
+        settings: None,
     }
 }
 
@@ -175,6 +176,16 @@
         );
     }
 
+    /// Lets jobs fail after this number of failed runs.
+    pub fn allow_attempts(&mut self, attempts: u32) {
+        let mut config = config();
+        config.version += 1;
+        for queue in config.queues.values_mut() {
+            Arc::make_mut(queue).attempts = attempts;
+        }
+        self.dispatcher.configure(Arc::new(config));
+    }
+
     /// Advances the time by `span_ms` in turns of the leader; returns the starts sent meanwhile.
     pub fn advance(&mut self, span_ms: u64) -> Vec<Start> {
         let end = self.now + span_ms;
@@ -189,6 +200,17 @@
         self.starts[before..].to_vec()
     }
 
+    /// Advances the time until the next start, for at most 20 s.
+    pub fn advance_to_start(&mut self) -> Vec<Start> {
+        for _ in 0..400 {
+            let starts = self.advance(50);
+            if !starts.is_empty() {
+                return starts;
+            }
+        }
+        Vec::new()
+    }
+
     /// Takes one turn after the least time between two scheduling rounds.
     pub fn round(&mut self) {
         self.now += 10;
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -14,8 +14,8 @@
 use yuccaridge::metric::InstanceMetrics;
 use yuccaridge::net::SteadyClock;
 use yuccaridge::port::{
-    Advice, AdviceQuery, EndpointEntry, EntryDecoder, HoldOrder, OrderError, Orders, Pool, Queue, Report, Resources,
-    Row, SiteConfig, StartOrder, StopOrder, Target,
+    Advice, AdviceQuery, EndpointEntry, EntryDecoder, HoldOrder, OrderError, Orders, Pool, Queue, Refusal, Report,
+    Resources, Row, SiteConfig, StartOrder, StopOrder, Target,
 };
 
 use crate::store::MemoryStore;
@@ -33,6 +33,8 @@
     starts: Rc<RefCell<Vec<Arc<str>>>>,
     /// Whether hold orders are answered.
     answers_holds: Rc<Cell<bool>>,
+    /// Endpoint whose address another incarnation has.
+    replaced: Rc<RefCell<Option<Arc<str>>>>,
 }
 
 /// Report of an endpoint on which nothing runs.
@@ -64,8 +66,14 @@
         Err(unreachable_endpoint())
     }
 
-    async fn hold(&self, _: &Target, order: &HoldOrder) -> Result<Report, OrderError> {
+    async fn hold(&self, target: &Target, order: &HoldOrder) -> Result<Report, OrderError> {
         self.holds.borrow_mut().push(Instant::now());
+        if self.replaced.borrow().as_ref() == Some(&target.endpoint) {
+            return Err(OrderError::Refused {
+                refusal: Refusal::Reborn,
+                clock_ms: None,
+            });
+        }
         if !self.answers_holds.get() {
             return Err(unreachable_endpoint());
         }
@@ -74,7 +82,8 @@
     }
 }
 
-/// A configuration with one queue, open to everyone; each row of the endpoint table is an endpoint.
+/// A configuration with one queue, open to everyone, or a later one without it; each row of the endpoint table is an
+/// endpoint.
 #[derive(Clone)]
 pub struct SingleQueueEntries;
 
@@ -87,7 +96,7 @@
         "endpoints"
     }
 
-    fn decode_config(&self, _: &Row) -> Result<Option<SiteConfig>, String> {
+    fn decode_config(&self, row: &Row) -> Result<Option<SiteConfig>, String> {
         let mut config = SiteConfig {
             version: 1,
             ..SiteConfig::default()
@@ -98,6 +107,9 @@
             standby: false,
         };
         config.pools.insert(Arc::clone(&queue.pool), pool);
+        if row.value.as_deref() == Some(b"no queue") {
+            return Ok(Some(SiteConfig { version: 2, ..config }));
+        }
         config.queues.insert(Arc::clone(&queue.name), queue);
         Ok(Some(config))
     }
@@ -164,6 +176,7 @@
         team: String::new(),
         graph: graph(),
         accepted_ms: 0,
+        settings: None,
     };
     store.put(JOB, id, submission.encode_to_vec());
     store.put(PHASE, id, phase);
@@ -173,6 +186,7 @@
 fn admission(team: &str, id: &str) -> Admission {
     Admission {
         queue: queue(),
+        config_version: 1,
         team: Arc::from(team),
         subpath: Arc::from(id),
     }
@@ -248,6 +262,11 @@
         self.orders.answers_holds.set(true);
     }
 
+    /// Lets another incarnation answer the orders of this instance to an endpoint.
+    pub fn replace_endpoint(&self, endpoint: &str) {
+        *self.orders.replaced.borrow_mut() = Some(Arc::from(endpoint));
+    }
+
     /// Tasks of the start orders that it sent.
     pub fn starts(&self) -> Vec<Arc<str>> {
         self.orders.starts.borrow().clone()
