Tell a call that timed out while connecting as not sent

Client::call reported every call whose time limit passed as one that may have been received, also if it was still waiting for a connection. It now remembers whether the request was handed to a connection; a part of it can have been written only after that. When the connection has been handed the request, the outcome stays unknown.

Without the change the new test fails with Unknown("no response within 200 ms") where NotSent is expected. A second test guards the other side: a request that the server has read stays unknown.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client with a pool of idle connections for each address.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -63,15 +63,20 @@
         request: Request<Full<Bytes>>,
         time_limit: Duration,
     ) -> Result<Answer, RequestError> {
-        if let Ok(result) = timeout(time_limit, self.send(address, request)).await {
+        let sent = Cell::new(false);
+        if let Ok(result) = timeout(time_limit, self.send(address, request, &sent)).await {
             return result;
         }
         // The cause may affect the idle connections to this address as well.
         self.drop_idle(address);
-        Err(RequestError::Unknown(format!(
-            "no response within {} ms",
-            time_limit.as_millis()
-        )))
+        let time_limit_ms = time_limit.as_millis();
+        if sent.get() {
+            Err(RequestError::Unknown(format!("no response within {time_limit_ms} ms")))
+        } else {
+            Err(RequestError::NotSent(format!(
+                "no connection to {address} within {time_limit_ms} ms"
+            )))
+        }
     }
 
     /// Drops the idle connections to an address.
@@ -79,18 +84,27 @@
         self.idle.borrow_mut().remove(address);
     }
 
-    async fn send(&self, address: &Arc<str>, request: Request<Full<Bytes>>) -> Result<Answer, RequestError> {
+    /// Sends a request; sets `sent` as long as a part of it may have been written.
+    async fn send(
+        &self,
+        address: &Arc<str>,
+        request: Request<Full<Bytes>>,
+        sent: &Cell<bool>,
+    ) -> Result<Answer, RequestError> {
         let (mut connection, reused) = match self.take_idle(address).await {
             Some(connection) => (connection, true),
             None => (connect(address).await?, false),
         };
+        sent.set(true);
         let response = match connection.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
                 // The server closed the reused connection before the request was written, so it is safe to send it
                 // again.
                 Some(request) if reused => {
+                    sent.set(false);
                     connection = connect(address).await?;
+                    sent.set(true);
                     connection
                         .send_request(request)
                         .await
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -1,21 +1,25 @@
-//! HTTP server under misbehaving clients, over real sockets.
+//! HTTP server under misbehaving clients and HTTP client under misbehaving servers, over real sockets.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::timeout;
-use yuccaridge::net::{Handler, Server, serve};
+use yuccaridge::net::{Client, Handler, RequestError, Server, serve};
 use yuccaridge::port::HttpLimits;
 
 /// Longer than any timeout below, so a connection that is open after this time was not closed.
 const HANG_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time limit of a call; shorter than the timeout of a connection attempt.
+const CALL_TIME: Duration = Duration::from_millis(200);
+
 struct Echo;
 
 impl Handler for Echo {
@@ -33,7 +37,7 @@
     }
 }
 
-fn with_server<F>(test: impl FnOnce(std::net::SocketAddr, Server) -> F)
+fn run<F>(test: F)
 where
     F: Future<Output = ()>,
 {
@@ -42,7 +46,14 @@
         .enable_time()
         .build()
         .expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn with_server<F>(test: impl FnOnce(std::net::SocketAddr, Server) -> F)
+where
+    F: Future<Output = ()>,
+{
+    run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let server = serve(listener, Rc::new(Echo), 64);
@@ -50,6 +61,30 @@
     });
 }
 
+/// A listener with a full queue, so that connecting to it does not end; the connections keep the queue full.
+async fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .bind("127.0.0.1:0".parse().expect("an address"))
+        .expect("a free port");
+    let listener = socket.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut queued = Vec::new();
+    while let Ok(connected) = timeout(CALL_TIME, TcpStream::connect(address)).await {
+        queued.push(connected.expect("a connection"));
+    }
+    (listener, queued)
+}
+
+/// Calls an address and returns the failure.
+async fn call_error(address: std::net::SocketAddr) -> RequestError {
+    let request = Request::post("/").body(Full::new(Bytes::from("x"))).expect("a request");
+    let result = Client::default()
+        .call(&Arc::from(address.to_string()), request, CALL_TIME)
+        .await;
+    result.expect_err("no answer")
+}
+
 /// Sends bytes and reads until the server closes the connection.
 async fn exchange(address: std::net::SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
@@ -119,3 +154,36 @@
         assert_eq!(&answer, b"HTTP/1.1 200");
     });
 }
+
+/// Guards against a caller who is told that a write may have taken effect when its time ran out before there was a
+/// connection.
+#[test]
+fn a_call_whose_time_ends_before_there_is_a_connection_was_not_sent() {
+    run(async {
+        let (listener, _queued) = full_listener().await;
+
+        let error = call_error(listener.local_addr().expect("an address")).await;
+
+        assert!(matches!(error, RequestError::NotSent(_)), "{error:?}");
+    });
+}
+
+/// Guards against a caller who is told that nothing was sent although the server has read the request.
+#[test]
+fn a_call_whose_time_ends_before_the_answer_may_have_been_received() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let silent_server = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = Vec::new();
+            stream.read_to_end(&mut request).await.expect("a request");
+            request
+        };
+
+        let (error, request) = tokio::join!(call_error(address), silent_server);
+
+        assert!(request.starts_with(b"POST / HTTP/1.1"), "{request:?}");
+        assert!(matches!(error, RequestError::Unknown(_)), "{error:?}");
+    });
+}
