Refuse a submission that never had a connection to the store

JobService::write cut a call to the store off at the caller's deadline and then could not tell whether it had been sent: a caller got 504 also if the store could not be reached at all. The store now gives up by itself (RowStore::commit_within) and says which of the two it was; the caller gets 503 only if no attempt was sent.

Without the change in JobService::write the new test fails with left: Err(Unknown), right: Err(Unavailable) A second test guards the other side: after an attempt without an answer, one without a connection doesn't make the outcome certain.

--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -251,15 +251,16 @@
             if !unanswered && Instant::now() + WRITE_TIME_MIN > deadline {
                 return Err(Denial::TooLate);
             }
-            match timeout_at(deadline, self.rows.commit(commit)).await {
-                Ok(Ok(_)) => return Ok(Written::Applied),
-                Ok(Err(StoreError::Conflict(versions))) => return Ok(Written::Conflict(versions)),
-                Ok(Err(StoreError::Declined(_))) => {}
-                Ok(Err(error)) => {
+            // The store gives up by itself at the deadline, as it knows whether the write was sent.
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            match self.rows.commit_within(commit, time_left).await {
+                Ok(_) => return Ok(Written::Applied),
+                Err(StoreError::Conflict(versions)) => return Ok(Written::Conflict(versions)),
+                Err(StoreError::Declined(_)) => {}
+                Err(error) => {
                     log::debug!(error:% = error; "no answer to a write; retrying");
                     unanswered = true;
                 }
-                Err(_) => return Err(Denial::Unknown),
             }
             // If an attempt has had no answer, the write may have taken effect even when a later attempt is declined.
             if !unanswered && Instant::now() + RETRY_PAUSE >= give_up_at {
--- a/src/port/row_store.rs
+++ b/src/port/row_store.rs
@@ -7,7 +7,13 @@
 /// Durable store of rows.
 pub trait RowStore: Clone + 'static {
     /// Applies a transaction and returns the version of its rows.
-    fn commit(&self, commit: &Commit) -> impl Future<Output = Result<u64, StoreError>>;
+    fn commit(&self, commit: &Commit) -> impl Future<Output = Result<u64, StoreError>> {
+        self.commit_within(commit, Duration::MAX)
+    }
+
+    /// The same, but gives up after `time_limit`, or earlier after the store's own: with [`StoreError::Declined`] if no part of the call was sent, otherwise with
+    /// [`StoreError::Unknown`].
+    fn commit_within(&self, commit: &Commit, time_limit: Duration) -> impl Future<Output = Result<u64, StoreError>>;
 
     /// Reads a page of rows as of one version of the store.
     fn read(&self, range: &Range) -> impl Future<Output = Result<Page, StoreError>>;
--- a/tests/lead/outcome.rs
+++ b/tests/lead/outcome.rs
@@ -59,3 +59,40 @@
         assert_eq!(store.count(INTAKE), 1);
     });
 }
+
+/// Guards against a submission whose outcome counts as unknown although the store could not be reached at all.
+#[test]
+fn a_submission_without_a_connection_is_refused() {
+    run_in_virtual_time(async {
+        let store = store();
+        let instance = Instance::start(&store, "first", 500);
+        sleep_ms(1_000).await;
+
+        store.block_connections(1_500);
+        let submitted = instance.submit_within(ID, 700).await;
+        sleep_ms(2_000).await;
+
+        assert_eq!(submitted, Err(Denial::Unavailable));
+        assert_eq!(store.count(INTAKE), 0);
+    });
+}
+
+/// Guards against a refusal after two attempts of which the first has had no answer and the second found no connection: the
+/// first takes effect later.
+#[test]
+fn an_unanswered_write_is_not_refused_for_want_of_a_connection() {
+    run_in_virtual_time(async {
+        let store = store();
+        let instance = Instance::start(&store, "first", 500);
+        sleep_ms(1_000).await;
+
+        store.lose_answers(20);
+        let (submitted, ()) = tokio::join!(instance.submit_within(ID, 700), async {
+            sleep_ms(30).await;
+            store.block_connections(2_000);
+        });
+
+        assert_eq!(submitted, Err(Denial::Unknown));
+        assert_eq!(store.count(INTAKE), 1);
+    });
+}
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -39,6 +39,8 @@
     read_delay: Duration,
     /// The next request for changes of the intake table fails because the history was discarded.
     history_gone: bool,
+    /// Until when no transaction reaches the store, because there is no connection.
+    unconnected_until: Instant,
     /// Until when the answers to transactions are lost.
     answers_lost_until: Instant,
     /// Until when change feeds deliver nothing.
@@ -70,6 +72,7 @@
             answer_delay: Duration::ZERO,
             read_delay: Duration::ZERO,
             history_gone: false,
+            unconnected_until: Instant::now(),
             answers_lost_until: Instant::now(),
             feeds_silent_until: Instant::now(),
             hint_inboxes: BTreeMap::new(),
@@ -133,6 +136,11 @@
         self.state.borrow_mut().answers_lost_until = Instant::now() + Duration::from_millis(ms);
     }
 
+    /// Makes transactions wait for a connection for `ms` milliseconds.
+    pub fn block_connections(&self, ms: u64) {
+        self.state.borrow_mut().unconnected_until = Instant::now() + Duration::from_millis(ms);
+    }
+
     /// Makes the next transaction that writes to a table panic in its caller.
     pub fn panic_at_write(&self, table: &str) {
         self.state.borrow_mut().panic_table = Some(Arc::from(table));
@@ -252,8 +260,15 @@
     }
 }
 
-impl RowStore for MemoryStore {
-    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+impl MemoryStore {
+    /// Waits until transactions reach the store.
+    async fn connect(&self) {
+        let unconnected_until = self.state.borrow().unconnected_until;
+        sleep_until(unconnected_until).await;
+    }
+
+    /// Carries out a transaction that has reached the store.
+    async fn transact(&self, commit: &Commit) -> Result<u64, StoreError> {
         if let Some(delay) = self.take_delay(commit) {
             let (store, commit) = (self.clone(), commit.clone());
             spawn_local(async move {
@@ -297,6 +312,22 @@
         }
         done
     }
+}
+
+impl RowStore for MemoryStore {
+    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+        self.connect().await;
+        self.transact(commit).await
+    }
+
+    async fn commit_within(&self, commit: &Commit, time_limit: Duration) -> Result<u64, StoreError> {
+        let end = Instant::now() + time_limit;
+        if timeout_at(end, self.connect()).await.is_err() {
+            return Err(StoreError::Declined(0));
+        }
+        let answer = timeout_at(end, self.transact(commit)).await;
+        answer.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".to_owned())))
+    }
 
     async fn read(&self, range: &Range) -> Result<Page, StoreError> {
         self.answer().await;
