--- a/src/lead/feeds.rs
+++ b/src/lead/feeds.rs
@@ -33,27 +33,29 @@
 /// Most concurrent reads of hinted rows.
 const HINT_READS_MAX: usize = 32;
 
+/// Adds the job of a row to the dispatcher; returns the time since its acceptance, in milliseconds.
 pub(super) fn submit_from_row(
     dispatcher: &mut Dispatcher,
     row: &Row,
     record: Option<&JobRecord>,
     phase: Phase,
     now: u64,
-) {
-    let Some(value) = &row.value else { return };
+) -> Option<u64> {
+    let value = row.value.as_ref()?;
     let submission = match Submission::decode(&**value) {
         Ok(submission) => submission,
         Err(error) => {
             log::error!(job:% = row.key, error:% = error; "cannot decode a stored submission");
-            return;
+            return None;
         }
     };
     if let Err(error) = submission.graph.check() {
         log::error!(job:% = row.key, error:% = error; "stored submission is not valid; ignored");
-        return;
+        return None;
     }
     let age_ms = wall_ms().saturating_sub(submission.accepted_ms);
     dispatcher.submit(&row.key, submission, record, phase, age_ms, now);
+    Some(age_ms)
 }
 
 pub(super) fn update_endpoint_from_row<R, O, E>(
@@ -188,7 +190,9 @@
         if row.key.ends_with(CANCEL_SUFFIX) || !state.known_jobs.borrow_mut().insert(Arc::clone(&row.key)) {
             continue;
         }
-        submit_from_row(&mut dispatcher, row, None, Phase::Queued, now);
+        if let Some(age_ms) = submit_from_row(&mut dispatcher, row, None, Phase::Queued, now) {
+            state.load.record_job_read(Duration::from_millis(age_ms));
+        }
         // The change feed may deliver the cancellation before a slow read of the partition delivers the job.
         if cancelled_jobs.contains(&row.key) {
             dispatcher.cancel(&row.key, now);
--- a/src/lead/load.rs
+++ b/src/lead/load.rs
@@ -1,6 +1,6 @@
 //! Where the leader spends its time.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -42,6 +42,8 @@
 pub(super) struct LoadMeter {
     metrics: Rc<InstanceMetrics>,
     spent: RefCell<BTreeMap<Activity, Duration>>,
+    /// Number of accepted jobs that were read since the last log line, and the longest time since their acceptance.
+    jobs_read: Cell<(u64, Duration)>,
     /// Time and processor time of the process at the last log line.
     last: RefCell<(Instant, Duration)>,
 }
@@ -52,6 +54,7 @@
         Self {
             metrics,
             spent: RefCell::default(),
+            jobs_read: Cell::default(),
             last: RefCell::new((Instant::now(), processor_time())),
         }
     }
@@ -69,10 +72,18 @@
         result
     }
 
+    /// Records that a job was read `delay` after it was accepted.
+    pub fn record_job_read(&self, delay: Duration) {
+        let (count, longest) = self.jobs_read.get();
+        self.jobs_read.set((count + 1, longest.max(delay)));
+        self.metrics.record_job_read(delay);
+    }
+
     /// Logs the sums and starts again from zero.
     pub fn log(&self) {
         let spent = std::mem::take(&mut *self.spent.borrow_mut());
         let ms = |activity| spent.get(&activity).map_or(0, Duration::as_millis) as u64;
+        let (jobs_read, read_delay) = self.jobs_read.take();
         let (now, processor) = (Instant::now(), processor_time());
         let (since, processor_before) = self.last.replace((now, processor));
         let span_ms = now.duration_since(since).as_millis() as u64;
@@ -84,7 +95,9 @@
             report_ms = ms(Activity::Report),
             answer_ms = ms(Activity::Answer),
             commit_ms = ms(Activity::Commit),
-            feed_ms = ms(Activity::Feed);
+            feed_ms = ms(Activity::Feed),
+            jobs_read,
+            read_delay_max_ms = read_delay.as_millis() as u64;
             "load of the leader"
         );
     }
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -39,6 +39,7 @@
     answers: Family<AnswerLabel, Counter>,
     answer_time: Histogram,
     activity_time: Family<ActivityLabel, Histogram>,
+    job_read_delay: Histogram,
     /// Ends of runs by outcome or by the reason for the stop, while this instance was the leader.
     pub run_ends: Family<ReasonLabel, Counter>,
     /// Ends `done` that matched no expected run, by the reason.
@@ -74,6 +75,8 @@
             answers: Family::default(),
             answer_time,
             activity_time: Family::new_with_constructor(activity_histogram),
+            // Buckets from 1 ms to 16 s: a feed takes some milliseconds, a takeover some seconds.
+            job_read_delay: Histogram::new(exponential_buckets(0.001, 2.0, 15)),
             run_ends: Family::default(),
             unmatched_done: Family::default(),
             starts: Counter::default(),
@@ -101,6 +104,12 @@
             Unit::Seconds,
             metrics.activity_time.clone(),
         );
+        registry.register_with_unit(
+            "job_read_delay",
+            "Time from the acceptance of a job until the leader reads it",
+            Unit::Seconds,
+            metrics.job_read_delay.clone(),
+        );
         registry.register(
             "jobs_unstored",
             "Jobs whose changes the leader has not stored yet",
@@ -172,6 +181,11 @@
             .observe(time.as_secs_f64());
     }
 
+    /// Records how long after its acceptance the leader read a job.
+    pub fn record_job_read(&self, delay: Duration) {
+        self.job_read_delay.observe(delay.as_secs_f64());
+    }
+
     /// Counts `count` ends of runs with the same reason.
     pub fn count_run_ends(&self, reason: &str, count: u64) {
         let reason = reason.to_owned();
--- a/tests/lead/outcome.rs
+++ b/tests/lead/outcome.rs
@@ -96,3 +96,19 @@
         assert_eq!(store.count(INTAKE), 1);
     });
 }
+
+/// Guards against a delay between acceptance and the leader that nobody sees, and a job that counts twice because a hint and
+/// the feed tell of it.
+#[test]
+fn the_leader_counts_each_job_that_it_reads_once() {
+    run_in_virtual_time(async {
+        let store = store();
+        let leader = Instance::start(&store, "first", 500);
+        sleep_ms(1_000).await;
+
+        leader.submit(ID).await.expect("a store that answers");
+        sleep_ms(1_000).await;
+
+        assert!(leader.has_metric("yuccaridge_job_read_delay_seconds_count 1"));
+    });
+}
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -186,6 +186,7 @@
 pub struct Instance {
     pub stop: Rc<StopSignal>,
     orders: UnreachableEndpoints,
+    metrics: Rc<InstanceMetrics>,
     jobs: JobService<MemoryStore>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -207,6 +208,7 @@
         let clock = SteadyClock::of_runtime();
         let view = Rc::new(ConfigView::new(2_000, clock));
         let stop = Rc::new(StopSignal::default());
+        let metrics = Rc::new(InstanceMetrics::default());
         let (hints, queues) = Hints::new(Arc::from(name));
         store.deliver_hints(name, queues);
         let candidate = Candidate {
@@ -217,7 +219,7 @@
             entries: entries.clone(),
             view: Rc::clone(&view),
             stop: Rc::clone(&stop),
-            metrics: Rc::new(InstanceMetrics::default()),
+            metrics: Rc::clone(&metrics),
             tuning: Tuning::default(),
             timing: Timing {
                 heartbeat_interval_ms: 500,
@@ -233,6 +235,7 @@
         Self {
             jobs: JobService::new(store.clone(), view, hints),
             orders: UnreachableEndpoints::default(),
+            metrics,
             tasks: vec![spawn_local(run(candidate)), config_feed],
             stop,
         }
@@ -248,6 +251,11 @@
         self.orders.answers_holds.set(true);
     }
 
+    /// Whether its metrics have a line.
+    pub fn has_metric(&self, line: &str) -> bool {
+        self.metrics.text().lines().any(|found| found == line)
+    }
+
     /// Tasks of the start orders that it sent.
     pub fn starts(&self) -> Vec<Arc<str>> {
         self.orders.starts.borrow().clone()
