--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -200,6 +200,7 @@
 pub struct Instance {
     pub stop: Rc<StopSignal>,
     orders: UnreachableEndpoints,
+    metrics: Rc<InstanceMetrics>,
     jobs: JobService<MemoryStore>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -221,6 +222,7 @@
         let clock = SteadyClock::of_runtime();
         let view = Rc::new(ConfigView::new(2_000, clock));
         let stop = Rc::new(StopSignal::default());
+        let metrics = Rc::new(InstanceMetrics::default());
         let (hints, queues) = Hints::new(Arc::from(name));
         store.deliver_hints(name, queues);
         let candidate = Candidate {
@@ -231,7 +233,7 @@
             entries: entries.clone(),
             view: Rc::clone(&view),
             stop: Rc::clone(&stop),
-            metrics: Rc::new(InstanceMetrics::default()),
+            metrics: Rc::clone(&metrics),
             tuning: Tuning::default(),
             timing: Timing {
                 heartbeat_interval_ms: 500,
@@ -247,6 +249,7 @@
         Self {
             jobs: JobService::new(store.clone(), view, hints),
             orders: UnreachableEndpoints::default(),
+            metrics,
             tasks: vec![spawn_local(run(candidate)), config_feed],
             stop,
         }
@@ -267,6 +270,11 @@
         *self.orders.replaced.borrow_mut() = Some(Arc::from(endpoint));
     }
 
+    /// Whether its metrics have a line.
+    pub fn has_metric(&self, line: &str) -> bool {
+        self.metrics.text().lines().any(|found| found == line)
+    }
+
     /// Tasks of the start orders that it sent.
     pub fn starts(&self) -> Vec<Arc<str>> {
         self.orders.starts.borrow().clone()
@@ -305,6 +313,12 @@
         self.submit_as("", id).await
     }
 
+    /// Submits a job whose caller waits only for `ms` milliseconds.
+    pub async fn submit_within(&self, id: &str, ms: u64) -> Result<(), Denial> {
+        let deadline = Instant::now() + Duration::from_millis(ms);
+        self.jobs.submit(&admission("", id), id, graph(), deadline).await
+    }
+
     /// Submits a job of a team.
     pub async fn submit_as(&self, team: &str, id: &str) -> Result<(), Denial> {
         self.jobs.submit(&admission(team, id), id, graph(), deadline()).await
