Log on what the end of leases is known by

When the work of a vanished endpoint started again late after a takeover, the log did not say whether the leader had waited for a lease of its own, for a bound that was stored, or for the longest lease of a former leader. The line on expired leases names it now, and a new leader logs which stored bounds of the former one it may use.

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -272,7 +272,7 @@
             if endpoint.runs.is_empty() || !endpoint.leases_have_expired(now) {
                 continue;
             }
-            log::info!(endpoint:% = name, runs = endpoint.runs.len(); "all leases on the endpoint have expired");
+            log::info!(endpoint:% = name, runs = endpoint.runs.len(), by:? = endpoint.lease_source; "all leases on the endpoint have expired");
             lapsed.extend(endpoint.runs.values().cloned());
         }
         for placed_run in lapsed {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -12,7 +12,9 @@
 use super::preempt::Claim;
 use super::probe_slots::ProbeSlots;
 use super::reservation::Reservation;
-use super::{Counts, Effect, Endpoint, Hold, Job, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates};
+use super::{
+    Counts, Effect, Endpoint, Hold, Job, LeaseSource, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates,
+};
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::port::{EndpointEntry, Resources, SiteConfig};
 
@@ -176,9 +178,13 @@
         for (position, unit) in job.units.iter().enumerate() {
             for (index, member) in unit.members.iter().enumerate() {
                 let stored_bound = self.lease_bounds.ends_at(&member.endpoint, member.born);
-                let leases_end_at = stored_bound.unwrap_or(latest_end_at).min(latest_end_at);
+                let (leases_end_at, source) = match stored_bound {
+                    Some(bound) if bound <= latest_end_at => (bound, LeaseSource::StoredBound),
+                    _ => (latest_end_at, LeaseSource::FormerLeader),
+                };
                 let endpoint = self.endpoints.entry(Arc::clone(&member.endpoint)).or_insert_with(|| {
                     let mut endpoint = Endpoint::new(placeholder_entry(member.born), leases_end_at, Some(fence));
+                    endpoint.lease_source = source;
                     endpoint.listed = false;
                     endpoint
                 });
@@ -190,12 +196,11 @@
                     ends_at: now,
                 };
                 // A start of the former leader may still be on its way to a later incarnation, whose clock began anew.
-                let bound = if member.born < endpoint.entry.born {
-                    latest_end_at + LATE_ORDER_MAX_MS
+                if member.born < endpoint.entry.born {
+                    endpoint.put_off_lease_end(latest_end_at + LATE_ORDER_MAX_MS, LeaseSource::Restart);
                 } else {
-                    leases_end_at
-                };
-                endpoint.leases_end_at = endpoint.leases_end_at.max(bound);
+                    endpoint.put_off_lease_end(leases_end_at, source);
+                }
                 // The list may lag behind the record; until it catches up, entries of earlier incarnations are stale.
                 endpoint.entry.born = endpoint.entry.born.max(member.born);
                 endpoint.add_run(Arc::clone(&member.task), unit.run, placed_run);
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -6,7 +6,7 @@
 
 use super::lease_bound::UNLISTED_MISSED_HOLDS_MAX;
 use super::probe_slots::ProbeSlots;
-use super::{SpeedEstimate, Tuning};
+use super::{LeaseSource, SpeedEstimate, Tuning};
 use crate::port::{EndpointEntry, Resources};
 
 /// Consecutive holds without an answer from which an endpoint counts as silent.
@@ -66,6 +66,8 @@
     pub last_end_acked: u64,
     /// Time by which all leases on it have expired, in milliseconds.
     pub leases_end_at: u64,
+    /// What that time rests on.
+    pub lease_source: LeaseSource,
     /// When this leader last granted a lease to its present incarnation, in milliseconds.
     pub(super) leased_at: Option<u64>,
     /// The same if the unanswered hold renews the lease; 0 if it renews none.
@@ -115,6 +117,7 @@
             last_end_stored: 0,
             last_end_acked: 0,
             leases_end_at,
+            lease_source: LeaseSource::Listed,
             leased_at: None,
             renewal_ends_at: 0,
             reported: false,
@@ -281,13 +284,21 @@
     /// Notes that a lease of `span_ms` was granted in an order sent at `now`.
     pub fn extend_leases(&mut self, tuning: &Tuning, now: u64, span_ms: u64) {
         self.leased_at = Some(now);
-        self.leases_end_at = self.leases_end_at.max(self.lease_bound(tuning, now, span_ms));
+        self.put_off_lease_end(self.lease_bound(tuning, now, span_ms), LeaseSource::OwnGrant);
+    }
+
+    /// Notes that leases may last until `ends_at`.
+    pub(super) fn put_off_lease_end(&mut self, ends_at: u64, source: LeaseSource) {
+        if ends_at > self.leases_end_at {
+            self.leases_end_at = ends_at;
+            self.lease_source = source;
+        }
     }
 
     /// Notes that a hold was answered or failed; `sent` tells whether it may have reached the endpoint.
     pub fn hold_ended(&mut self, sent: bool) {
         if sent {
-            self.leases_end_at = self.leases_end_at.max(self.renewal_ends_at);
+            self.put_off_lease_end(self.renewal_ends_at, LeaseSource::OwnGrant);
         }
         self.renewal_ends_at = 0;
     }
--- a/src/dispatch/incarnation.rs
+++ b/src/dispatch/incarnation.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::endpoint::PlacedRun;
-use super::{Dispatcher, Endpoint, MemberState};
+use super::{Dispatcher, Endpoint, LeaseSource, MemberState};
 use crate::port::EndpointEntry;
 
 /// Assumed bound of the time after which an order without an answer may be carried out, in milliseconds.
@@ -29,6 +29,7 @@
         log::info!(endpoint:% = name, from = old.entry.born, to = born, runs = old.runs.len(); "endpoint restarted");
         let fence = if old.contacted { None } else { old.fence };
         let mut fresh = Endpoint::new(entry, leases_end_at, fence);
+        fresh.lease_source = LeaseSource::Restart;
         fresh.fenced_at = now;
         fresh.listed = old.listed;
         fresh.used = old.used;
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -134,7 +134,11 @@
     state.store_clock.set(Some((bounds.clock_ms, sent_at)));
     if let Some(value) = bounds.rows.first().and_then(|row| row.value.as_deref()) {
         match StoredBounds::decode(value) {
-            Ok(stored) => dispatcher.restore_lease_bounds(state.restored_bounds(&stored, bounds.clock_ms, now)),
+            Ok(stored) => {
+                let restored = state.restored_bounds(&stored, bounds.clock_ms, now);
+                log::info!(fence = stored.fence, stored = stored.bounds.len(), usable = restored.len(); "read the lease bounds of the former leader");
+                dispatcher.restore_lease_bounds(restored);
+            }
             Err(error) => log::warn!(error:% = error; "cannot decode the bounds of leases of the former leader"),
         }
     }
