End the leases of former leaders by an endpoint's first report

After a takeover, work on an endpoint that answered the new leader once and then vanished waited 19.2 s from the takeover: 8 s for which a former leader may go on, and its longest lease. But the endpoint had seen the new token and refused the former leaders from its answer on, also their orders that were still under way. So their leases end by the time of the first complete report plus the longest lease. What this leader granted itself still counts, and a restarted endpoint keeps the margin for orders that reach the wrong incarnation.

Without the change the new test fails: "assertion `left == right` failed: started again once the longest lease has passed, left: 0, right: 1".

--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -68,6 +68,8 @@
     pub leases_end_at: u64,
     /// What that time rests on.
     pub lease_source: LeaseSource,
+    /// Time by which the leases that this leader granted have expired, in milliseconds.
+    granted_until: u64,
     /// When this leader last granted a lease to its present incarnation, in milliseconds.
     pub(super) leased_at: Option<u64>,
     /// The same if the unanswered hold renews the lease; 0 if it renews none.
@@ -118,6 +120,7 @@
             last_end_acked: 0,
             leases_end_at,
             lease_source: LeaseSource::Listed,
+            granted_until: 0,
             leased_at: None,
             renewal_ends_at: 0,
             reported: false,
@@ -284,7 +287,13 @@
     /// Notes that a lease of `span_ms` was granted in an order sent at `now`.
     pub fn extend_leases(&mut self, tuning: &Tuning, now: u64, span_ms: u64) {
         self.leased_at = Some(now);
-        self.put_off_lease_end(self.lease_bound(tuning, now, span_ms), LeaseSource::OwnGrant);
+        self.note_granted(self.lease_bound(tuning, now, span_ms));
+    }
+
+    /// Notes that a lease of this leader may last until `ends_at`.
+    fn note_granted(&mut self, ends_at: u64) {
+        self.granted_until = self.granted_until.max(ends_at);
+        self.put_off_lease_end(ends_at, LeaseSource::OwnGrant);
     }
 
     /// Notes that leases may last until `ends_at`.
@@ -295,10 +304,23 @@
         }
     }
 
+    /// Notes that all leases that others than this leader granted have ended by `ends_at`.
+    ///
+    /// An endpoint that has answered an order with the token of this leader refuses those of former leaders, also those
+    /// still on their way, so none of their leases is granted after the answer. This does not hold for a restarted
+    /// endpoint, which keeps the margin for orders that reach the wrong incarnation.
+    pub(super) fn limit_former_leases(&mut self, ends_at: u64) {
+        let ends_at = ends_at.max(self.granted_until);
+        if self.lease_source != LeaseSource::Restart && ends_at < self.leases_end_at {
+            self.leases_end_at = ends_at;
+            self.lease_source = LeaseSource::FirstReport;
+        }
+    }
+
     /// Notes that a hold was answered or failed; `sent` tells whether it may have reached the endpoint.
     pub fn hold_ended(&mut self, sent: bool) {
         if sent {
-            self.put_off_lease_end(self.renewal_ends_at, LeaseSource::OwnGrant);
+            self.note_granted(self.renewal_ends_at);
         }
         self.renewal_ends_at = 0;
     }
--- a/src/dispatch/lease_source.rs
+++ b/src/dispatch/lease_source.rs
@@ -9,6 +9,8 @@
     StoredBound,
     /// The longest lease that a former leader may have granted.
     FormerLeader,
+    /// The longest lease that a former leader may have granted before the first report to this one.
+    FirstReport,
     /// The longest lease that may exist on an endpoint that has just been listed.
     Listed,
     /// The longest lease that may reach an endpoint that has restarted.
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -44,6 +44,7 @@
         if born < endpoint.entry.born || endpoint.fence.is_none() || sent_at < endpoint.fenced_at {
             return;
         }
+        let longest_lease_ms = self.longest_lease_ms();
         let Some(endpoint) = self.endpoints.get_mut(name) else {
             return;
         };
@@ -58,6 +59,9 @@
         endpoint.last_end_acked = endpoint.last_end_acked.max(seen);
         // The proof that the first report gives needs its last page of ends.
         endpoint.reported |= !report.more_ends;
+        if first_report && endpoint.reported {
+            endpoint.limit_former_leases(now + longest_lease_ms);
+        }
         endpoint.contacted = true;
         self.changed |= first_report;
         for end in &report.ended {
--- a/tests/dispatch/lease_bounds.rs
+++ b/tests/dispatch/lease_bounds.rs
@@ -4,7 +4,7 @@
 
 use yuccaridge::dispatch::{LeaseBound, Tuning};
 use yuccaridge::graph::{JobRecord, Phase, Place, UnitRecord};
-use yuccaridge::port::OrderError;
+use yuccaridge::port::{EndpointEntry, OrderError, Outcome};
 
 use crate::world::{BORN, T0, World, entry, name, step, submission};
 
@@ -70,6 +70,63 @@
     assert_eq!(after.len(), 1, "started again once the stored bound has passed");
 }
 
+/// A leader that has taken over an endpoint with a run, beside an idle one, and has asked it for no report yet.
+fn leader_of_listed_endpoint() -> World {
+    let mut world = leader_after(Vec::new());
+    world
+        .dispatcher
+        .update_endpoint(&name("gone"), Some(entry("10.0.0.9:1", "r0")), world.now);
+    world
+}
+
+/// Guards against work that waits for leases which a former leader might still grant, although its endpoint has seen the
+/// token of the present one and refuses the former: it answered once and then vanished.
+#[test]
+fn leases_of_former_leaders_end_after_the_first_report() {
+    let mut world = leader_of_listed_endpoint();
+    world.now = T0 + 400;
+    world.report("gone", &[("job.0.0.0", 1, 10.0)], &[]);
+
+    let before = world.advance(11_100);
+    let after = world.advance(200);
+
+    assert_eq!(before, []);
+    assert_eq!(after.len(), 1, "started again once the longest lease has passed");
+}
+
+/// Guards against a proof from a page of a report: a report counts once it is complete.
+#[test]
+fn leases_of_former_leaders_last_beyond_an_incomplete_report() {
+    let mut world = leader_of_listed_endpoint();
+    world.now = T0 + 400;
+    world.report_page("gone", &[(1, "other.0.0.0", 1, Outcome::Done)]);
+
+    let before = world.advance(LONGEST_WAIT_MS - 500);
+    let after = world.advance(200);
+
+    assert_eq!(before, []);
+    assert_eq!(after.len(), 1);
+}
+
+/// Guards against a bound that forgets starts which are on their way to an endpoint that has restarted.
+#[test]
+fn leases_on_a_restarted_endpoint_keep_the_margin_for_late_orders() {
+    let mut world = leader_of_listed_endpoint();
+    let entry = EndpointEntry {
+        born: BORN + 1,
+        ..entry("10.0.0.9:1", "r0")
+    };
+    world.dispatcher.update_endpoint(&name("gone"), Some(entry), world.now);
+    world.now = T0 + 400;
+    world.report_as("gone", BORN + 1, 0, &[("job.0.0.0", 1, 10.0)], &[]);
+
+    let before = world.advance(12_000 + 11_200 - 500);
+    let after = world.advance(200);
+
+    assert_eq!(before, []);
+    assert_eq!(after.len(), 1);
+}
+
 /// Guards against a lease that is granted although the store says that there is none: the next leader would start the task
 /// again while it runs.
 #[test]
