Store the ends of all leases with the release of the lead

After a roll, work on endpoints that the new leader could not reach waited 19.2 s from its takeover: 8 s for which a former leader may go on without a stored renewal, and its longest lease. But a leader that releases its lead grants nothing after that. The transaction of the release now also stores when the leases on each endpoint with runs end, up to 24 KiB of them, and a common bound for all others. From the time at which it is sent, no lease is granted that outlasts these bounds, so no run can have one when the successor counts them as over; starts that are stored already are still sent, within the bound. If the store declines the release for certain, granting goes on at once. If its outcome is unknown, granting goes on once a later transaction without these bounds is stored; until then leases run out, as a successor may rely on the bounds. That is up to 8 s earlier than before if the store falls silent just then.

A leader keeps what it inherits apart from what it stores, so it grants leases on endpoints with an inherited bound at once. The bound of an endpoint that is listed at the takeover no longer hides the inherited one.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -177,9 +177,9 @@
         }
         for (position, unit) in job.units.iter().enumerate() {
             for (index, member) in unit.members.iter().enumerate() {
-                let stored_bound = self.lease_bounds.ends_at(&member.endpoint, member.born);
-                let (leases_end_at, source) = match stored_bound {
-                    Some(bound) if bound <= latest_end_at => (bound, LeaseSource::StoredBound),
+                let inherited_end = self.lease_bounds.inherited_end(&member.endpoint, member.born);
+                let (leases_end_at, source) = match inherited_end {
+                    Some((bound, source)) if bound <= latest_end_at => (bound, source),
                     _ => (latest_end_at, LeaseSource::FormerLeader),
                 };
                 let endpoint = self.endpoints.entry(Arc::clone(&member.endpoint)).or_insert_with(|| {
@@ -188,6 +188,10 @@
                     endpoint.listed = false;
                     endpoint
                 });
+                // The bound of a listed endpoint stands for what is not known of former leaders.
+                if endpoint.runs.is_empty() && endpoint.lease_source == LeaseSource::Listed && !endpoint.contacted {
+                    endpoint.leases_end_at = 0;
+                }
                 let placed_run = PlacedRun {
                     job: Arc::clone(id),
                     unit: position,
@@ -298,13 +302,18 @@
             || member.endpoint != start.endpoint
             || member.born != start.born
             || !matches!(member.state, MemberState::Sent { .. })
-            || self.lease_bounds.contains(&start.endpoint)
         {
             return None;
         }
         let endpoint = self.endpoints.get_mut(&start.endpoint)?;
         let span = self.tuning.start_lease_ms;
         let until = endpoint.lease_end_at(now, span)?;
+        if !self
+            .lease_bounds
+            .allows(&start.endpoint, endpoint.lease_bound(&self.tuning, now, span))
+        {
+            return None;
+        }
         endpoint.extend_leases(&self.tuning, now, span);
         Some(until)
     }
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -342,7 +342,7 @@
     }
 
     /// Time by which a lease granted in an order sent at `now` has expired even on a slow clock, in milliseconds.
-    fn lease_bound(&self, tuning: &Tuning, now: u64, span_ms: u64) -> u64 {
+    pub(super) fn lease_bound(&self, tuning: &Tuning, now: u64, span_ms: u64) -> u64 {
         // A slow clock also lags behind the estimate by what it has lost since it was read.
         let age = self.clock.map_or(0, |(_, at)| now.saturating_sub(at));
         let lag = (age as f64 * tuning.clock_drift).ceil() as u64;
--- a/src/dispatch/lease_source.rs
+++ b/src/dispatch/lease_source.rs
@@ -7,6 +7,8 @@
     OwnGrant,
     /// A bound that the former leader has stored.
     StoredBound,
+    /// The common bound that the former leader has stored with the release of its lead.
+    ReleasedLead,
     /// The longest lease that a former leader may have granted.
     FormerLeader,
     /// The longest lease that a former leader may have granted before the first report to this one.
--- a/src/dispatch/persist.rs
+++ b/src/dispatch/persist.rs
@@ -73,6 +73,9 @@
         }
         if let Some(bounds) = snapshot.lease_bounds {
             self.lease_bounds.set_stored(bounds);
+            if snapshot.common_bound.is_none() {
+                self.lease_bounds.release_replaced();
+            }
         }
         for start in snapshot.starts {
             let Some(job) = self.jobs.get_mut(&start.job) else {
@@ -115,8 +118,23 @@
         }
     }
 
-    /// Applies the failed commit of a snapshot: its changes become part of the next one.
+    /// Applies the commit of a snapshot that has certainly failed: its changes become part of the next one.
+    pub fn store_declined(&mut self, snapshot: Snapshot) {
+        if snapshot.common_bound.is_some() {
+            self.lease_bounds.release_declined();
+        }
+        self.keep_changes(snapshot);
+    }
+
+    /// The same for a commit that may have been applied, or may still be.
     pub fn store_failed(&mut self, snapshot: Snapshot) {
+        if snapshot.common_bound.is_some() {
+            self.lease_bounds.release_failed();
+        }
+        self.keep_changes(snapshot);
+    }
+
+    fn keep_changes(&mut self, snapshot: Snapshot) {
         if snapshot.lease_bounds.is_some() || snapshot.raises_fence {
             self.lease_bounds.store_failed();
         }
--- a/src/dispatch/snapshot.rs
+++ b/src/dispatch/snapshot.rs
@@ -35,17 +35,20 @@
     pub last_ends: Vec<(Arc<str>, u64, u64)>,
     /// All bounds of leases on silent endpoints, if they have changed; times are those of the dispatcher's clock.
     pub lease_bounds: Option<Vec<LeaseBound>>,
+    /// Set if the lead is released: the time by which all leases have ended on endpoints without a bound in `lease_bounds`.
+    pub common_bound: Option<u64>,
     /// Set if the commit has to raise the fencing token, because an endpoint has restarted.
     pub raises_fence: bool,
 }
 
 impl Snapshot {
+    /// Whether there is nothing to store but bounds of leases.
+    pub fn has_only_bounds(&self) -> bool {
+        self.jobs.is_empty() && self.starts.is_empty() && self.last_ends.is_empty() && !self.raises_fence
+    }
+
     /// Whether there is nothing to store.
     pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
-            && self.starts.is_empty()
-            && self.last_ends.is_empty()
-            && self.lease_bounds.is_none()
-            && !self.raises_fence
+        self.has_only_bounds() && self.lease_bounds.is_none()
     }
 }
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -135,9 +135,13 @@
     if let Some(value) = bounds.rows.first().and_then(|row| row.value.as_deref()) {
         match StoredBounds::decode(value) {
             Ok(stored) => {
-                let restored = state.restored_bounds(&stored, bounds.clock_ms, now);
-                log::info!(fence = stored.fence, stored = stored.bounds.len(), usable = restored.len(); "read the lease bounds of the former leader");
+                let (restored, common_end) = state.restored_bounds(&stored, bounds.clock_ms, now);
+                let others_end_in_ms = common_end.map(|end| end.saturating_sub(now));
+                log::info!(fence = stored.fence, stored = stored.bounds.len(), usable = restored.len(), others_end_in_ms:?; "read the lease bounds of the former leader");
                 dispatcher.restore_lease_bounds(restored);
+                if let Some(common_end) = common_end {
+                    dispatcher.restore_common_bound(common_end);
+                }
             }
             Err(error) => log::warn!(error:% = error; "cannot decode the bounds of leases of the former leader"),
         }
@@ -371,7 +375,7 @@
             state.stored.notify_waiters();
         }
         Err(StoreError::Conflict(_)) => {
-            state.dispatcher.borrow_mut().store_failed(snapshot);
+            state.dispatcher.borrow_mut().store_declined(snapshot);
             match read_ledger(&candidate.rows).await {
                 Ok(Some((entry, version))) if candidate.wrote(&entry) => {
                     // An earlier transaction of this leader, whose result was unknown, has been applied. It may have
@@ -386,7 +390,11 @@
         }
         Err(error) => {
             log::warn!(error:% = error, jobs = snapshot.jobs.len(), starts = snapshot.starts.len(); "cannot store scheduling decisions");
-            state.dispatcher.borrow_mut().store_failed(snapshot);
+            let mut dispatcher = state.dispatcher.borrow_mut();
+            match error {
+                StoreError::Declined(_) => dispatcher.store_declined(snapshot),
+                _ => dispatcher.store_failed(snapshot),
+            }
         }
     }
 }
--- a/src/lead/state.rs
+++ b/src/lead/state.rs
@@ -88,33 +88,41 @@
 
     /// Stored form of bounds, with their times on the clock of the store. That clock counts from before the call in which it
     /// was read, so the times are late rather than early.
-    pub fn stored_bounds(&self, bounds: &[LeaseBound], fence: u64) -> StoredBounds {
+    pub fn stored_bounds(&self, bounds: &[LeaseBound], common_end: Option<u64>, fence: u64) -> StoredBounds {
         let Some((clock_ms, sent_at)) = self.store_clock.get() else {
             return StoredBounds::default();
         };
+        let on_store_clock = |time: u64| clock_ms.saturating_add(time).saturating_sub(sent_at);
         let bounds = bounds.iter().map(|bound| StoredBound {
             endpoint: bound.endpoint.to_string(),
             born: bound.born,
-            ends_at: clock_ms.saturating_add(bound.ends_at).saturating_sub(sent_at),
+            ends_at: on_store_clock(bound.ends_at),
         });
         StoredBounds {
             fence,
             bounds: bounds.collect(),
+            common_end: common_end.map(on_store_clock),
         }
     }
 
-    /// Bounds of the former leader, on the local clock, if no leader has come between; `answered_at` is the local time
-    /// after the store read its clock.
-    pub fn restored_bounds(&self, stored: &StoredBounds, clock_ms: u64, answered_at: u64) -> Vec<LeaseBound> {
+    /// Bounds of the former leader and the common one, on the local clock, if no leader has come between; `answered_at` is
+    /// the local time after the store read its clock.
+    pub fn restored_bounds(
+        &self,
+        stored: &StoredBounds,
+        clock_ms: u64,
+        answered_at: u64,
+    ) -> (Vec<LeaseBound>, Option<u64>) {
         if stored.fence.checked_add(1) != Some(self.first_fence) {
-            return Vec::new();
+            return (Vec::new(), None);
         }
+        let on_local_clock = |time: u64| answered_at.saturating_add(time).saturating_sub(clock_ms);
         let bounds = stored.bounds.iter().map(|bound| LeaseBound {
             endpoint: Arc::from(&*bound.endpoint),
             born: bound.born,
-            ends_at: answered_at.saturating_add(bound.ends_at).saturating_sub(clock_ms),
+            ends_at: on_local_clock(bound.ends_at),
         });
-        bounds.collect()
+        (bounds.collect(), stored.common_end.map(on_local_clock))
     }
 
     /// Whether leadership is to be released: to a larger instance, or because this one stops.
--- a/src/lead/stored_bounds.rs
+++ b/src/lead/stored_bounds.rs
@@ -25,4 +25,8 @@
     /// Bounds.
     #[prost(message, repeated, tag = "2")]
     pub bounds: Vec<StoredBound>,
+    /// Set if the leader has released its lead: time by which all leases on other endpoints have ended, on the clock of the
+    /// store, in milliseconds.
+    #[prost(uint64, optional, tag = "3")]
+    pub common_end: Option<u64>,
 }
--- a/src/lead/transaction.rs
+++ b/src/lead/transaction.rs
@@ -76,11 +76,15 @@
         ledger: &LedgerVersion,
         now: u64,
     ) -> Option<Transaction> {
-        let snapshot = state.dispatcher.borrow_mut().snapshot();
+        let mut snapshot = state.dispatcher.borrow_mut().snapshot();
+        let hands_over = state.should_hand_over(candidate.stop.is_stopping());
+        let releases_leadership = hands_over && snapshot.as_ref().is_none_or(Snapshot::has_only_bounds);
+        if releases_leadership {
+            snapshot = Some(state.dispatcher.borrow_mut().release(now));
+        }
         let raises_fence = snapshot.as_ref().is_some_and(|snapshot| snapshot.raises_fence);
         let fence = ledger.fence + u64::from(raises_fence);
         let mut commit = Commit::default();
-        let releases_leadership = state.should_hand_over(candidate.stop.is_stopping()) && snapshot.is_none();
         // A follower that takes over expects the token of the ledger in the heartbeat.
         if now >= self.heartbeat_due || releases_leadership || raises_fence {
             self.heartbeat_count += 1;
@@ -128,7 +132,9 @@
         }
         add_snapshot(&mut commit, &snapshot, ledger.version, &candidate.ledger_entry(fence));
         if let Some(bounds) = &snapshot.lease_bounds {
-            let row = state.stored_bounds(bounds, fence).encode_to_vec();
+            let row = state
+                .stored_bounds(bounds, snapshot.common_bound, fence)
+                .encode_to_vec();
             commit.put.push((RowKey::new(BOUNDS, SINGLE_ROW_KEY), row));
         }
         for id in &removed_jobs {
--- a/tests/dispatch/lease_bounds.rs
+++ b/tests/dispatch/lease_bounds.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use yuccaridge::dispatch::{LeaseBound, Tuning};
+use yuccaridge::dispatch::{Dispatcher, LeaseBound, Snapshot, Tuning};
 use yuccaridge::graph::{JobRecord, Phase, Place, UnitRecord};
 use yuccaridge::port::{EndpointEntry, OrderError, Outcome};
 
-use crate::world::{BORN, T0, World, entry, name, step, submission};
+use crate::world::{BORN, T0, World, config, entry, name, step, submission};
 
 /// Longest time for which a new leader has to wait for leases that its predecessor may have granted.
 const LONGEST_WAIT_MS: u64 = 8_000 + 11_200;
@@ -199,3 +199,161 @@
     let last_lease_end = T0 + 50 + 2 * 1_800 + (Tuning::default().lease_ms as f64 * 1.02) as u64;
     assert!(bounds[0].ends_at <= last_lease_end + 1_000, "{bounds:?}");
 }
+
+/// A leader with a run on `e0`, which the endpoint has confirmed and reported.
+fn leader_with_run() -> World {
+    let mut world = World::new(1);
+    world.submit("job", "batch", vec![step(1, 1, 5_000)]);
+    let starts = world.advance(50);
+    world.confirm(&starts);
+    world.report("e0", &[("job.0.0.0", 1, 1.0)], &[]);
+    world
+}
+
+/// A leader that takes over `after_ms` later, with what the store says of a run on `e0`, which it never reaches.
+fn successor(former: &World, release: &Snapshot, after_ms: u64) -> World {
+    let mut world = World::empty();
+    world.now = former.now + after_ms;
+    world.dispatcher = Dispatcher::new(Tuning::default(), world.now);
+    world.dispatcher.configure(Arc::new(config()));
+    let bounds = release.lease_bounds.clone().expect("bounds of all leases");
+    world.dispatcher.restore_lease_bounds(bounds);
+    world
+        .dispatcher
+        .restore_common_bound(release.common_bound.expect("a common bound"));
+    let record = started_on("e0");
+    world.dispatcher.submit(
+        &name("job"),
+        submission("batch", vec![step(1, 1, 5_000)]),
+        Some(&record),
+        Phase::Running,
+        0,
+        world.now,
+    );
+    world
+}
+
+/// Guards against work that waits after a takeover for leases that a leader might have granted after the release of its
+/// lead, which it can't.
+#[test]
+fn a_release_tells_when_the_last_lease_ends() {
+    let mut former = leader_with_run();
+    former.dispatcher.hold(&name("e0"), former.now).expect("a hold");
+    let granted_at = former.now;
+    former.now += 2_000;
+    let release = former.dispatcher.release(former.now);
+
+    let mut successor = successor(&former, &release, 300);
+    successor.advance(granted_at + 11_300 - successor.now);
+
+    let endpoint = successor.dispatcher.endpoints().get("e0");
+    assert_eq!(
+        endpoint.map(|endpoint| endpoint.runs.len()),
+        None,
+        "its lease has passed"
+    );
+}
+
+/// Guards against a bound that passes while a lease lasts that was granted before the release.
+#[test]
+fn a_release_covers_all_leases_that_were_granted_before() {
+    let mut former = leader_with_run();
+    former.dispatcher.hold(&name("e0"), former.now).expect("a hold");
+    let granted_at = former.now;
+    former.now += 2_000;
+    let release = former.dispatcher.release(former.now);
+
+    let mut successor = successor(&former, &release, 300);
+    successor.advance(granted_at + 10_200 - successor.now);
+
+    let endpoint = successor.dispatcher.endpoints().get("e0");
+    assert_eq!(endpoint.map(|endpoint| endpoint.runs.len()), Some(1));
+}
+
+/// Guards against a lease that outlasts what a successor reads in the store, and against one that is never granted again
+/// after the store has declined the release.
+#[test]
+fn a_release_that_was_declined_lets_leases_be_granted_again() {
+    let mut world = leader_with_run();
+    let hold = |world: &mut World| world.dispatcher.hold(&name("e0"), world.now).expect("a hold").lease_end;
+    let before = hold(&mut world);
+    let release = world.dispatcher.release(world.now);
+    let under_way = hold(&mut world);
+
+    world.dispatcher.store_declined(release);
+    let declined = hold(&mut world);
+
+    assert!(before.is_some());
+    assert_eq!(under_way, None);
+    assert!(declined.is_some());
+}
+
+/// Guards against a lease that outlasts the bounds of a release that the store applies late.
+#[test]
+fn a_release_without_an_answer_lets_no_lease_be_granted_until_it_is_replaced() {
+    let mut world = leader_with_run();
+    let hold = |world: &mut World| world.dispatcher.hold(&name("e0"), world.now).expect("a hold").lease_end;
+    let release = world.dispatcher.release(world.now);
+    world.dispatcher.store_failed(release);
+    let unknown = hold(&mut world);
+    let again = world.dispatcher.release(world.now);
+    world.dispatcher.store_declined(again);
+    let declined = hold(&mut world);
+
+    let bounds = stored_by(&mut world);
+    let replaced = hold(&mut world);
+
+    assert_eq!((unknown, declined), (None, None));
+    assert_eq!(bounds, []);
+    assert!(replaced.is_some());
+}
+
+/// Guards against a start that is refused, which costs its unit a run, because the lead is released right after the start
+/// was stored.
+#[test]
+fn a_start_that_was_stored_before_the_release_is_sent() {
+    let mut world = World::new(1);
+    world.advance(LONGEST_WAIT_MS);
+    world.submit("job", "batch", vec![step(1, 1, 5_000)]);
+    let starts = world.advance(50);
+    let release = world.dispatcher.release(world.now);
+    let bounds = release.lease_bounds.expect("bounds of all leases");
+    world.now += 100;
+
+    let soon = world.dispatcher.lease_start(&starts[0], world.now);
+    world.now += 1_000;
+    let late = world.dispatcher.lease_start(&starts[0], world.now);
+
+    let lease_ms = Tuning::default().start_lease_ms;
+    assert_eq!(soon.map(|end| end <= bounds[0].ends_at), Some(true));
+    assert!(bounds[0].ends_at <= world.now + 2 * lease_ms, "{bounds:?}");
+    assert_eq!(late, None);
+}
+
+/// Guards against a row that the store refuses for its size.
+#[test]
+fn a_release_of_many_endpoints_has_a_common_bound() {
+    let mut world = World::new(0);
+    let bounds: Vec<LeaseBound> = (0..2_000)
+        .map(|at| LeaseBound {
+            endpoint: name(&format!("endpoint-{at:010}")),
+            born: BORN,
+            ends_at: T0 + at,
+        })
+        .collect();
+    world.dispatcher.restore_lease_bounds(bounds);
+    for at in 0..2_000 {
+        let record = started_on(&format!("endpoint-{at:010}"));
+        let job = submission("batch", vec![step(1, 1, 5_000)]);
+        let id = name(&format!("job{at}"));
+        world
+            .dispatcher
+            .submit(&id, job, Some(&record), Phase::Running, 0, world.now);
+    }
+
+    let release = world.dispatcher.release(world.now);
+
+    let listed = release.lease_bounds.expect("bounds").len();
+    assert!((300..600).contains(&listed), "{listed} bounds");
+    assert_eq!(release.common_bound, Some(T0 + 11_200));
+}
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -74,6 +74,8 @@
 const HOLD_TIMEOUT_MARGIN_MS: u64 = 800;
 const UNANSWERED_HOLD_PAUSE_MS: u64 = 300;
 const STORE_RETRY_PAUSE_MS: u64 = 150;
+/// Time for which a leader goes on after the release of its lead, in milliseconds.
+const RELEASED_MS: u64 = 300;
 
 /// A call of the leader that has no answer yet.
 enum Call {
@@ -125,6 +127,12 @@
     fault_rate: f64,
     /// Probability that a job is submitted in a tick.
     load: f64,
+    /// Leaders release the lead if they can.
+    releases: bool,
+    /// This leader has released the lead.
+    released: bool,
+    /// Number of leads that were released.
+    releases_stored: u64,
 }
 
 fn lost() -> OrderError {
@@ -170,6 +178,9 @@
             led_from: T0,
             fault_rate: 0.08,
             load,
+            releases: false,
+            released: false,
+            releases_stored: 0,
         };
         for at in 0..ENDPOINTS {
             let endpoint = name(&format!("e{at}"));
@@ -206,7 +217,9 @@
             fence: self.store.fence + 1,
             jobs: Vec::new(),
             lease_bounds: None,
+            common_bound: None,
         };
+        self.released = false;
         let former_fence = self.store.fence;
         self.store.apply(&takeover, self.now);
         self.known_version = self.store.version;
@@ -220,9 +233,12 @@
         self.dispatcher = Dispatcher::new(Tuning::default(), self.now);
         self.dispatcher.raise_fence(self.store.fence, self.now);
         self.dispatcher.configure(Arc::new(config()));
-        let (fence, bounds) = &self.store.lease_bounds;
+        let (fence, bounds, common_bound) = &self.store.lease_bounds;
         if *fence == former_fence {
             self.dispatcher.restore_lease_bounds(bounds.clone());
+            if let Some(ends_at) = common_bound {
+                self.dispatcher.restore_common_bound(*ends_at);
+            }
         }
         for (endpoint, entry) in &self.entries {
             self.dispatcher.update_endpoint(endpoint, Some(entry.clone()), self.now);
@@ -629,6 +645,10 @@
             self.events.add(self.store_down_until, Event::TakeOver);
             return;
         }
+        if self.releases && !self.released && self.release() {
+            self.events.add(self.now + RELEASED_MS, Event::TakeOver);
+            return;
+        }
         if let Some(commit) = self.commit.take()
             && self.chance(0.5)
         {
@@ -637,6 +657,30 @@
         self.replace_leader();
     }
 
+    /// Releases the lead unless other changes have to be stored first. The answer of the store is lost, so the leader goes
+    /// on for as long as it is not replaced.
+    fn release(&mut self) -> bool {
+        self.dispatcher.pause();
+        let snapshot = self.dispatcher.snapshot().unwrap_or_default();
+        let has_only_bounds = snapshot.has_only_bounds();
+        self.dispatcher.store_failed(snapshot);
+        if self.commit.is_some() || !has_only_bounds {
+            return false;
+        }
+        let release = self.dispatcher.release(self.now);
+        let write = Write {
+            version: self.known_version,
+            fence: self.dispatcher.fence(),
+            jobs: Vec::new(),
+            lease_bounds: release.lease_bounds.clone(),
+            common_bound: release.common_bound,
+        };
+        self.released = self.store.apply(&write, self.now);
+        self.releases_stored += u64::from(self.released);
+        self.dispatcher.store_failed(release);
+        self.released
+    }
+
     /// Sends the next transaction, or applies the answer to the one under way.
     fn commit(&mut self) {
         if let Some((_, write)) = self.late_commit.take_if(|(at, _)| *at <= self.now) {
@@ -660,6 +704,7 @@
                 fence: self.dispatcher.fence() + u64::from(snapshot.raises_fence),
                 jobs: snapshot.jobs.clone(),
                 lease_bounds: snapshot.lease_bounds.clone(),
+                common_bound: snapshot.common_bound,
             },
             snapshot,
             answered_at: self.now + [0, 50, 50, 100, 300][self.random.random_range(0..5)],
@@ -799,12 +844,24 @@
 
 /// What a seed has shown to be wrong.
 fn failures(seed: u64) -> Vec<String> {
-    let mut soak = Soak::new(seed);
+    failures_of(Soak::new(seed)).0
+}
+
+/// The same if leaders release the lead, and how often they did.
+fn failures_with_releases(seed: u64) -> (Vec<String>, u64) {
+    let soak = Soak {
+        releases: true,
+        ..Soak::new(seed)
+    };
+    failures_of(soak)
+}
+
+fn failures_of(mut soak: Soak) -> (Vec<String>, u64) {
     soak.run();
     let unfinished = soak.unfinished_jobs();
     let mut failures = soak.fleet.violations;
     failures.extend(unfinished.iter().map(|(id, phase)| format!("{id} ended as {phase:?}")));
-    failures
+    (failures, soak.releases_stored)
 }
 
 fn run_seed(seed: u64) {
@@ -822,6 +879,19 @@
     }
 }
 
+/// Guards against two runs of a task at the same time because a new leader trusts the bounds of a released lead.
+#[test]
+fn released_leads_violate_no_invariant() {
+    let mut released = 0;
+    for seed in 0..SEEDS {
+        let (failures, count) = failures_with_releases(seed);
+        released += count;
+
+        assert_eq!(failures, Vec::<String>::new(), "seed {seed}");
+    }
+    assert!(released > SEEDS, "{released} leads were released");
+}
+
 /// Guards against the return of faults that were fixed.
 #[test]
 fn seeds_that_once_failed_pass() {
@@ -840,7 +910,8 @@
     let (from, to) = range.split_once("..").expect("a range such as 1000..1200");
     let mut failed = 0;
     for seed in from.parse().expect("a number")..to.parse().expect("a number") {
-        let failures = failures(seed);
+        let mut failures = failures(seed);
+        failures.extend(failures_with_releases(seed).0);
         if failures.is_empty() {
             continue;
         }
--- a/tests/dispatch/store.rs
+++ b/tests/dispatch/store.rs
@@ -16,6 +16,8 @@
     pub fence: u64,
     pub jobs: Vec<JobWrite>,
     pub lease_bounds: Option<Vec<LeaseBound>>,
+    /// Common bound of a release of the lead.
+    pub common_bound: Option<u64>,
 }
 
 /// The stored state.
@@ -26,8 +28,8 @@
     /// Fencing token of the ledger.
     pub fence: u64,
     pub jobs: BTreeMap<Arc<str>, JobWrite>,
-    /// Bounds of leases and the fencing token with which they were stored.
-    pub lease_bounds: (u64, Vec<LeaseBound>),
+    /// Bounds of leases, the common one, and the fencing token with which they were stored.
+    pub lease_bounds: (u64, Vec<LeaseBound>, Option<u64>),
 }
 
 impl FakeStore {
@@ -39,7 +41,7 @@
         self.version += 1;
         self.fence = write.fence;
         if let Some(bounds) = &write.lease_bounds {
-            self.lease_bounds = (write.fence, bounds.clone());
+            self.lease_bounds = (write.fence, bounds.clone(), write.common_bound);
         }
         for job in &write.jobs {
             trace::event(
--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -6,6 +6,7 @@
 mod incarnation;
 mod monitor;
 mod odd_rows;
+mod release;
 mod store;
 mod unwell;
 mod withdrawals;
