--- a/tests/lead/release.rs
+++ b/tests/lead/release.rs
@@ -7,7 +7,7 @@
 use prost::Message;
 use tokio::time::{Instant, sleep};
 use yuccaridge::graph::{JobRecord, Phase, Place, UnitRecord};
-use yuccaridge::lead::{LEAD, Offer, encode_phase};
+use yuccaridge::lead::{BOUNDS, LEAD, Offer, encode_phase};
 use yuccaridge::port::{Advice, AdviceQuery, HoldOrder, OrderError, Orders, Report, StartOrder, StopOrder, Target};
 
 use crate::store::MemoryStore;
@@ -204,3 +204,22 @@
         assert_started_in_time(&endpoints, took_over_at);
     });
 }
+
+/// Guards against a restarted instance that releases the lead of its former process, of whose leases it knows nothing, as if
+/// it had granted nothing more.
+#[test]
+fn a_restarted_leader_does_not_claim_that_its_former_leases_have_ended() {
+    run_in_virtual_time(async {
+        let store = store_with_started_job();
+        put_leader_rows(&store, "only", 1, 500);
+        let (_only, endpoints) = start(&store, "only", 500);
+        while leader(&store) != Some(("only".to_owned(), 2)) {
+            sleep_ms(1).await;
+        }
+        let took_over_at = Instant::now();
+        sleep_ms(LONGEST_WAIT_MS + TURNS_MS).await;
+
+        assert_started_in_time(&endpoints, took_over_at);
+        assert_eq!(store.count(BOUNDS), 0);
+    });
+}
