--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -12,7 +12,9 @@
 use super::preempt::Claim;
 use super::probe_slots::ProbeSlots;
 use super::reservation::Reservation;
-use super::{Counts, Effect, Endpoint, Hold, Job, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates};
+use super::{
+    Counts, Effect, Endpoint, Hold, Job, LeaseSource, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates,
+};
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
 
@@ -66,6 +68,8 @@
     next_check: u64,
     /// When this leader took over, in milliseconds.
     pub(super) took_over_at: u64,
+    /// Time after which no former leader had its lead confirmed, in milliseconds.
+    former_confirmed_at: u64,
 }
 
 /// Least time between two scheduling rounds, in milliseconds; batches events that arrive together.
@@ -115,6 +119,7 @@
             round_time_ms: 0.0,
             next_check: 0,
             took_over_at: now,
+            former_confirmed_at: now,
         }
     }
 
@@ -133,6 +138,14 @@
         &self.endpoints
     }
 
+    /// Notes that no former leader had its lead confirmed after `at`; has to be called before any job is added.
+    ///
+    /// Each transaction of a leader expects the ledger row that the last one left, so the transactions of all leaders are in
+    /// one order, and no former leader has an answer to one that was sent after the last. Its lead has ended 8 s after that.
+    pub fn restore_confirmation(&mut self, at: u64) {
+        self.former_confirmed_at = at.min(self.took_over_at);
+    }
+
     /// Applies a configuration unless it is older than the present one.
     pub fn configure(&mut self, config: Arc<SiteConfig>) {
         if config.version <= self.config.version {
@@ -167,7 +180,9 @@
         }
         job.queue = queue_of(&self.config, &job.submission);
         // A former leader may have renewed leases on these endpoints until its own lead ran out.
-        let latest_end_at = self.took_over_at + self.tuning.leader_lease_ms + self.longest_lease_ms();
+        let term_ms = self.tuning.leader_lease_ms + self.longest_lease_ms();
+        let former_end_at = self.former_confirmed_at + term_ms;
+        let latest_end_at = self.took_over_at + term_ms;
         let fence = self.fence;
         let need: Vec<Resources> = (0..job.units.len()).map(|unit| job.need(unit)).collect();
         if job.units.iter().any(|unit| !unit.members.is_empty()) {
@@ -175,13 +190,21 @@
         }
         for (position, unit) in job.units.iter().enumerate() {
             for (index, member) in unit.members.iter().enumerate() {
-                let stored_bound = self.lease_bounds.ends_at(&member.endpoint, member.born);
-                let leases_end_at = stored_bound.unwrap_or(latest_end_at).min(latest_end_at);
+                let inherited_end = self.lease_bounds.inherited_end(&member.endpoint, member.born);
+                let (leases_end_at, source) = match inherited_end {
+                    Some((bound, source)) if bound <= former_end_at => (bound, source),
+                    _ => (former_end_at, LeaseSource::FormerLeader),
+                };
                 let endpoint = self.endpoints.entry(Arc::clone(&member.endpoint)).or_insert_with(|| {
                     let mut endpoint = Endpoint::new(placeholder_entry(member.born), leases_end_at, Some(fence));
+                    endpoint.lease_source = source;
                     endpoint.listed = false;
                     endpoint
                 });
+                // The bound of a listed endpoint stands for what is not known of former leaders.
+                if endpoint.runs.is_empty() && endpoint.lease_source == LeaseSource::Listed && !endpoint.contacted {
+                    endpoint.leases_end_at = 0;
+                }
                 let placed_run = PlacedRun {
                     job: Arc::clone(id),
                     unit: position,
@@ -190,12 +213,11 @@
                     ends_at: now,
                 };
                 // A start of the former leader may still be on its way to a later incarnation, whose clock began anew.
-                let bound = if member.born < endpoint.entry.born {
-                    latest_end_at + LATE_ORDER_MAX_MS
+                if member.born < endpoint.entry.born {
+                    endpoint.put_off_lease_end(latest_end_at + LATE_ORDER_MAX_MS, LeaseSource::Restart);
                 } else {
-                    leases_end_at
-                };
-                endpoint.leases_end_at = endpoint.leases_end_at.max(bound);
+                    endpoint.put_off_lease_end(leases_end_at, source);
+                }
                 // The list may lag behind the record; until it catches up, entries of earlier incarnations are stale.
                 endpoint.entry.born = endpoint.entry.born.max(member.born);
                 endpoint.add_run(Arc::clone(&member.task), unit.run, placed_run);
@@ -294,13 +316,18 @@
             || member.endpoint != start.endpoint
             || member.born != start.born
             || !matches!(member.state, MemberState::Sent { .. })
-            || self.lease_bounds.contains(&start.endpoint)
         {
             return None;
         }
         let endpoint = self.endpoints.get_mut(&start.endpoint)?;
         let span = self.tuning.start_lease_ms;
         let until = endpoint.lease_end_at(now, span)?;
+        if !self
+            .lease_bounds
+            .allows(&start.endpoint, endpoint.lease_bound(&self.tuning, now, span))
+        {
+            return None;
+        }
         endpoint.extend_leases(&self.tuning, now, span);
         Some(until)
     }
--- a/src/lead/state.rs
+++ b/src/lead/state.rs
@@ -15,6 +15,10 @@
 use crate::metric::InstanceMetrics;
 use crate::net::SteadyClock;
 
+/// How long a reading of the clock of the store is used although a later one is there, in milliseconds; in that time clocks
+/// that differ in speed by 1% drift apart by less than the margin of a lease.
+const STORE_CLOCK_KEPT_MS: u64 = 10_000;
+
 /// State shared by the tasks of the leader.
 #[derive(Debug)]
 pub(super) struct LeaderState {
@@ -86,35 +90,61 @@
         })
     }
 
-    /// Stored form of bounds, with their times on the clock of the store. That clock counts from before the call in which it
-    /// was read, so the times are late rather than early.
-    pub fn stored_bounds(&self, bounds: &[LeaseBound], fence: u64) -> StoredBounds {
-        let Some((clock_ms, sent_at)) = self.store_clock.get() else {
+    /// Notes the clock of the store in the answer to a call that was sent at `sent_at`. An answer that waited for a change
+    /// tells it late by that wait, so a better one is kept for a while.
+    pub fn note_store_clock(&self, clock_ms: u64, sent_at: u64) {
+        let kept = self.store_clock.get().is_some_and(|(known_ms, at)| {
+            let age = sent_at.saturating_sub(at);
+            age < STORE_CLOCK_KEPT_MS && known_ms.saturating_add(age) <= clock_ms
+        });
+        if !kept {
+            self.store_clock.set(Some((clock_ms, sent_at)));
+        }
+    }
+
+    /// A local time on the clock of the store, if that clock is known. It counts from before the call in which it was read, so
+    /// the time is late rather than early.
+    pub fn on_store_clock(&self, time: u64) -> Option<u64> {
+        let (clock_ms, sent_at) = self.store_clock.get()?;
+        Some(clock_ms.saturating_add(time).saturating_sub(sent_at))
+    }
+
+    /// Stored form of bounds, with their times on the clock of the store.
+    pub fn stored_bounds(&self, bounds: &[LeaseBound], common_end: Option<u64>, fence: u64) -> StoredBounds {
+        if self.store_clock.get().is_none() {
             return StoredBounds::default();
-        };
+        }
+        let on_store_clock = |time| self.on_store_clock(time).unwrap_or(u64::MAX);
         let bounds = bounds.iter().map(|bound| StoredBound {
             endpoint: bound.endpoint.to_string(),
             born: bound.born,
-            ends_at: clock_ms.saturating_add(bound.ends_at).saturating_sub(sent_at),
+            ends_at: on_store_clock(bound.ends_at),
         });
         StoredBounds {
             fence,
             bounds: bounds.collect(),
+            common_end: common_end.map(on_store_clock),
         }
     }
 
-    /// Bounds of the former leader, on the local clock, if no leader has come between; `answered_at` is the local time
-    /// after the store read its clock.
-    pub fn restored_bounds(&self, stored: &StoredBounds, clock_ms: u64, answered_at: u64) -> Vec<LeaseBound> {
+    /// Bounds of the former leader and the common one, on the local clock, if no leader has come between; `answered_at` is
+    /// the local time after the store read its clock.
+    pub fn restored_bounds(
+        &self,
+        stored: &StoredBounds,
+        clock_ms: u64,
+        answered_at: u64,
+    ) -> (Vec<LeaseBound>, Option<u64>) {
         if stored.fence.checked_add(1) != Some(self.first_fence) {
-            return Vec::new();
+            return (Vec::new(), None);
         }
+        let on_local_clock = |time: u64| answered_at.saturating_add(time).saturating_sub(clock_ms);
         let bounds = stored.bounds.iter().map(|bound| LeaseBound {
             endpoint: Arc::from(&*bound.endpoint),
             born: bound.born,
-            ends_at: answered_at.saturating_add(bound.ends_at).saturating_sub(clock_ms),
+            ends_at: on_local_clock(bound.ends_at),
         });
-        bounds.collect()
+        (bounds.collect(), stored.common_end.map(on_local_clock))
     }
 
     /// Whether leadership is to be released: to a larger instance, or because this one stops.
--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -7,6 +7,7 @@
 mod monitor;
 mod odd_rows;
 mod outcome;
+mod release;
 mod removed_queue;
 mod store;
 mod taken_address;
