Take a lead whose takeover had no answer only by its own row

If a takeover has no answer, the candidate reads the ledger row. The row may be that of an earlier attempt that was applied late; it tells an earlier time than the one from which the lead would count, so a successor would take the leases for ended too early. The row has to be that of the attempt itself. Found by review; no test shows it. All tests of the leader pass.

--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -301,13 +301,11 @@
         hint_address: candidate.hints.address().to_string(),
         ..Heartbeat::default()
     };
+    let written = candidate.ledger_entry(fence, Some(sent_at));
     let commit = Commit {
         expect: vec![(RowKey::new(LEDGER, SINGLE_ROW_KEY), version)],
         put: vec![
-            (
-                RowKey::new(LEDGER, SINGLE_ROW_KEY),
-                candidate.ledger_entry(fence, Some(sent_at)).encode_to_vec(),
-            ),
+            (RowKey::new(LEDGER, SINGLE_ROW_KEY), written.encode_to_vec()),
             (RowKey::new(LEAD, SINGLE_ROW_KEY), heartbeat.encode_to_vec()),
         ],
         ..Commit::default()
@@ -324,7 +322,8 @@
         Err(error @ StoreError::Unknown(_)) => {
             // The transaction may have been applied although no answer arrived.
             match read_ledger(&candidate.rows).await?.row {
-                Some((entry, version)) if candidate.wrote(&entry) && entry.fence == fence => Ok(takeover(version)),
+                // The row of an earlier attempt tells an earlier time than that from which this lead would count.
+                Some((entry, version)) if entry == written => Ok(takeover(version)),
                 _ => Err(error),
             }
         }
