--- a/src/dispatch/counts.rs
+++ b/src/dispatch/counts.rs
@@ -7,6 +7,10 @@
 pub struct Counts {
     /// Units that were placed.
     pub starts: u64,
+    /// Claims that were made for urgent units.
+    pub claims_made: u64,
+    /// Claims that were dropped because they could not be met in time.
+    pub claims_dropped: u64,
     /// Runs that ended: `done`, or by the reason for which they were stopped.
     pub ends: BTreeMap<String, u64>,
     /// Ends `done` that matched no expected run, by the reason.
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::claim::Claim;
 use super::dirty_queue::DirtyQueue;
 use super::endpoint::PlacedRun;
 use super::incarnation::LATE_ORDER_MAX_MS;
 use super::lease_bound::LeaseBounds;
 use super::pool_view::PoolView;
-use super::preempt::Claim;
 use super::probe_slots::ProbeSlots;
 use super::reservation::Reservation;
 use super::{
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -42,6 +42,8 @@
     pub idle_since: BTreeMap<(u32, usize), u64>,
     /// When it was accepted, on the dispatcher's clock, in milliseconds.
     pub accepted_at: u64,
+    /// Longest of the waits that are logged for it so far, in milliseconds.
+    pub(super) wait_logged_ms: u64,
 }
 
 impl Job {
@@ -87,6 +89,7 @@
             end_stored: false,
             idle_since: BTreeMap::new(),
             accepted_at: now.saturating_sub(age_ms),
+            wait_logged_ms: 0,
         }
     }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod advice;
 mod advice_tickets;
 mod answers;
+mod claim;
 mod counts;
 mod dirty_queue;
 mod dispatcher;
@@ -22,6 +23,7 @@
 mod endpoint_view;
 mod evacuate;
 mod free_counts;
+mod guarantee;
 mod incarnation;
 mod job;
 mod learned;
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::Dispatcher;
+use super::claim::Claim;
 use super::job::core_equivalents;
 use super::place::Demand;
 use super::pool_view::PoolView;
@@ -11,21 +12,6 @@
 use super::victim_table::{Plan, Victim, VictimTable};
 use crate::port::Resources;
 
-/// Resources that are kept for an urgent unit while its victims stop.
-#[derive(Debug, Clone)]
-pub(super) struct Claim {
-    /// Number of tasks that each endpoint is to take.
-    pub tasks_by_endpoint: BTreeMap<Arc<str>, u32>,
-    /// Resources of each task.
-    pub need: Resources,
-    /// All tasks have to be in one rack.
-    pub adjacent: bool,
-    /// Endpoints below this speed are excluded.
-    pub min_speed: f64,
-    /// When the claim was made, in milliseconds.
-    pub since: u64,
-}
-
 /// A claim that may be made.
 #[derive(Debug)]
 pub(super) struct ClaimPlan {
@@ -38,31 +24,6 @@
 }
 
 impl Dispatcher {
-    /// Accelerators that the urgent jobs of each team hold or demand.
-    pub(super) fn urgent_accelerators(&self) -> BTreeMap<Arc<str>, u64> {
-        let mut urgent_accelerators: BTreeMap<Arc<str>, u64> = BTreeMap::new();
-        for job in self.jobs.values() {
-            if job.phase.is_final() || !job.is_urgent() {
-                continue;
-            }
-            let sum = urgent_accelerators.entry(Arc::clone(&job.team)).or_default();
-            *sum = sum.saturating_add(job.accelerator_demand());
-        }
-        urgent_accelerators
-    }
-
-    /// Whether the urgent jobs of the team, including this one, are within its guarantee.
-    pub(super) fn is_guaranteed(&self, id: &Arc<str>, urgent_accelerators: &BTreeMap<Arc<str>, u64>) -> bool {
-        let team = &self.jobs[id].team;
-        let guaranteed = self.config.teams.get(team).map_or(0, |team| team.guaranteed);
-        urgent_accelerators.get(team).copied().unwrap_or(0) <= guaranteed
-    }
-
-    /// Whether preemption has to begin now, at any cost, for a guaranteed job to start in time.
-    pub(super) fn guarantee_is_due(&self, id: &Arc<str>, now: u64) -> bool {
-        now.saturating_sub(self.jobs[id].accepted_at) + self.tuning.reclaim_lead_ms >= self.tuning.reclaim_ms
-    }
-
     /// Most work, in core-seconds, that may be lost so that a unit can start. It rises over the first second of
     /// waiting, since a late urgent job is worth much less.
     pub(super) fn claim_limit(&self, id: &Arc<str>, position: usize, now: u64) -> f64 {
@@ -137,7 +98,12 @@
         cache: &mut RoundCache,
         now: u64,
     ) {
-        apply_claim(views, &found.claim, false);
+        let waited_ms = now.saturating_sub(self.jobs[id].accepted_at);
+        let endpoints: Vec<&str> = found.claim.tasks_by_endpoint.keys().map(|name| &**name).collect();
+        let (endpoints, victims) = (endpoints.join(","), found.plan.1.len());
+        log::info!(job:% = id, unit = position, waited_ms, endpoints, victims, cost = found.cost; "claim made for an urgent unit");
+        self.counts.claims_made += 1;
+        found.claim.apply(views, false);
         self.claims.insert((Arc::clone(id), position), found.claim);
         // The other table numbers its victims in another way; it is made anew if it is needed again.
         let (table, other) = if found.include_borrowers {
@@ -201,12 +167,3 @@
         victims
     }
 }
-
-/// Sets the resources of a claim aside on its endpoints, or releases them.
-pub(super) fn apply_claim(views: &mut PoolView, claim: &Claim, release: bool) {
-    for (name, tasks) in &claim.tasks_by_endpoint {
-        if let Some(index) = views.index_of(name) {
-            views.claim(index, &claim.need, *tasks, release);
-        }
-    }
-}
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -13,7 +13,6 @@
 use super::permit::Permit;
 use super::place::{self, AVOID_NONE, Demand};
 use super::pool_view::PoolView;
-use super::preempt::apply_claim;
 use super::rank::Rank;
 use super::record_room::RecordRoom;
 use super::round_cache::RoundCache;
@@ -43,7 +42,7 @@
         self.add_terminating(&mut view, now);
         view.count();
         for claim in self.claims.values() {
-            apply_claim(&mut view, claim, false);
+            claim.apply(&mut view, false);
         }
         view
     }
@@ -88,8 +87,7 @@
     pub(super) fn round(&mut self, now: u64, wall_ms: u64) {
         self.typical_log_speed =
             speed::typical_log_speed(self.endpoints.values().map(|endpoint| &endpoint.speed_estimate));
-        self.claims
-            .retain(|_, claim| claim.since + self.tuning.claim_timeout_ms > now);
+        self.drop_expired_claims(now);
         let mut ranked: Vec<(Rank, Arc<str>)> = Vec::new();
         for (id, job) in &self.jobs {
             if job.phase.is_final() || job.queue.is_none() || job.index.waiting.is_empty() {
@@ -119,6 +117,7 @@
             self.reservations.append(&mut cache.reservations);
             self.pool_views.insert(pool, views);
         }
+        self.log_urgent_waits(now);
     }
 
     /// Places the units of one job as far as they fit, and books them in the snapshot of the pool.
@@ -168,7 +167,7 @@
                 continue;
             }
             if let Some(claim) = &claim {
-                apply_claim(views, claim, true);
+                claim.apply(views, true);
             }
             let mut demand = self.demand(views, id, position, &rank, now);
             if let Some(claim) = &claim {
@@ -222,7 +221,7 @@
                 continue;
             }
             if let Some(claim) = &claim {
-                apply_claim(views, claim, false);
+                claim.apply(views, false);
                 continue;
             }
             if rank.is_urgent() {
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -293,6 +293,7 @@
         let mut overload = state.overload.get();
         overload.add_sample(delay_ms);
         state.overload.set(overload);
+        state.load.record_timer_delay(Duration::from_millis(delay_ms));
     }
 }
 
@@ -301,6 +302,8 @@
     let mut dispatcher = state.dispatcher.borrow_mut();
     let counts = dispatcher.take_counts();
     metrics.starts.inc_by(counts.starts);
+    metrics.claims.inc_by(counts.claims_made);
+    metrics.claims_dropped.inc_by(counts.claims_dropped);
     for (reason, count) in counts.ends {
         metrics.count_run_ends(&reason, count);
     }
--- a/src/lead/load.rs
+++ b/src/lead/load.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use rustix::time::{ClockId, clock_gettime};
-
 use crate::metric::InstanceMetrics;
 
 /// Activity of the leader whose time is measured.
@@ -44,8 +42,10 @@
     spent: RefCell<BTreeMap<Activity, Duration>>,
     /// Number of accepted jobs that were read since the last log line, and the longest time since their acceptance.
     jobs_read: Cell<(u64, Duration)>,
-    /// Time and processor time of the process at the last log line.
-    last: RefCell<(Instant, Duration)>,
+    /// Longest delay of a timer since the last log line.
+    timer_delay: Cell<Duration>,
+    /// Time of the last log line.
+    last: Cell<Instant>,
 }
 
 impl LoadMeter {
@@ -55,7 +55,8 @@
             metrics,
             spent: RefCell::default(),
             jobs_read: Cell::default(),
-            last: RefCell::new((Instant::now(), processor_time())),
+            timer_delay: Cell::default(),
+            last: Cell::new(Instant::now()),
         }
     }
 
@@ -79,32 +80,29 @@
         self.metrics.record_job_read(delay);
     }
 
+    /// Records how late a timer fired.
+    pub fn record_timer_delay(&self, delay: Duration) {
+        self.timer_delay.set(self.timer_delay.get().max(delay));
+    }
+
     /// Logs the sums and starts again from zero.
     pub fn log(&self) {
         let spent = std::mem::take(&mut *self.spent.borrow_mut());
         let ms = |activity| spent.get(&activity).map_or(0, Duration::as_millis) as u64;
         let (jobs_read, read_delay) = self.jobs_read.take();
-        let (now, processor) = (Instant::now(), processor_time());
-        let (since, processor_before) = self.last.replace((now, processor));
-        let span_ms = now.duration_since(since).as_millis() as u64;
-        let processor_ms = processor.saturating_sub(processor_before).as_millis() as u64;
+        let now = Instant::now();
+        let span_ms = now.duration_since(self.last.replace(now)).as_millis() as u64;
         log::info!(
             span_ms,
-            processor_ms,
             round_ms = ms(Activity::Round),
             report_ms = ms(Activity::Report),
             answer_ms = ms(Activity::Answer),
             commit_ms = ms(Activity::Commit),
             feed_ms = ms(Activity::Feed),
             jobs_read,
-            read_delay_max_ms = read_delay.as_millis() as u64;
+            read_delay_max_ms = read_delay.as_millis() as u64,
+            timer_delay_max_ms = self.timer_delay.take().as_millis() as u64;
             "load of the leader"
         );
     }
 }
-
-/// Processor time that this process has used.
-fn processor_time() -> Duration {
-    let time = clock_gettime(ClockId::ProcessCPUTime);
-    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
-}
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -46,6 +46,10 @@
     unmatched_done: Family<ReasonLabel, Counter>,
     /// Starts that the dispatcher decided, whether or not they succeeded.
     pub starts: Counter,
+    /// Claims for urgent units, whether or not they were met.
+    pub claims: Counter,
+    /// Claims that were dropped because they could not be met in time.
+    pub claims_dropped: Counter,
     /// Jobs that are queued.
     pub jobs_waiting: Gauge,
     /// Jobs that are running.
@@ -80,6 +84,8 @@
             run_ends: Family::default(),
             unmatched_done: Family::default(),
             starts: Counter::default(),
+            claims: Counter::default(),
+            claims_dropped: Counter::default(),
             jobs_waiting: Gauge::default(),
             jobs_running: Gauge::default(),
             endpoints_open: Gauge::default(),
@@ -131,6 +137,12 @@
             metrics.unmatched_done.clone(),
         );
         registry.register("starts", "Starts that were decided", metrics.starts.clone());
+        registry.register("claims", "Claims for urgent units", metrics.claims.clone());
+        registry.register(
+            "claims_dropped",
+            "Claims for urgent units that were not met in time",
+            metrics.claims_dropped.clone(),
+        );
         registry.register("jobs_waiting", "Jobs that have not begun", metrics.jobs_waiting.clone());
         registry.register("jobs_running", "Jobs that have begun", metrics.jobs_running.clone());
         registry.register(
