Find victims anew where a unit was placed in the round

Cause: within a round the cheapest victims on each endpoint are kept by what a task needs, and were brought up to date only by claims. A unit that was placed on a free endpoint in the same round left it listed as free, at no cost. The next urgent unit with the same need claimed it: nothing was stopped, the claim could not be met, and the unit waited for its timeout (600 ms to 800 ms) before it could claim again. Three such claims in a row after the due time exceed the bound.

Change: the kept victims carry what could be claimed on their endpoint when they were found, and are found anew where that has changed.

The test fails without the change: job c is not started, and nothing is stopped for it. The report itself has no log, so that this was its cause is inferred from its time.

--- a/src/dispatch/victim_table.rs
+++ b/src/dispatch/victim_table.rs
@@ -1,7 +1,7 @@
 //! Search for the cheapest units to stop so that urgent units can start.
 //!
 //! The victims for one task on each endpoint depend only on what the task needs, so they are computed once in a round for
-//! each need, and brought up to date where a claim has taken resources or victims.
+//! each need, and brought up to date where a unit or a claim has taken resources or victims.
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -28,6 +28,14 @@
 /// Cost of freeing an endpoint for one more task, and the victims that have to stop for it.
 type CheapestVictims = (f64, Vec<usize>);
 
+/// Cheapest victims for the first task on an endpoint; `None` if stopping all of them would not suffice.
+#[derive(Debug, Clone, PartialEq)]
+struct First {
+    /// What could be claimed there without victims when they were found.
+    claimable: Resources,
+    found: Option<CheapestVictims>,
+}
+
 /// Properties of a demand on which the victims for one task depend.
 #[derive(Debug, Clone, PartialEq)]
 struct Need {
@@ -60,7 +68,7 @@
     /// Indices of the victims on each endpoint.
     victims_on: Vec<Vec<usize>>,
     /// Cheapest victims for the first task on each endpoint, by need.
-    cheapest: Vec<(Need, Vec<Option<CheapestVictims>>)>,
+    cheapest: Vec<(Need, Vec<First>)>,
 }
 
 impl VictimTable {
@@ -131,23 +139,34 @@
         for (need, first) in &mut tables {
             let demand = Demand::one_task(need.room, need.min_speed, &need.label, need.rack.as_deref());
             for endpoint in &touched {
-                first[*endpoint] = self.cheapest_victims(views, &demand, *endpoint, 0, &BTreeSet::new());
+                first[*endpoint] = self.first(views, &demand, *endpoint);
             }
         }
         self.cheapest = tables;
     }
 
-    /// Cheapest victims for the first task on each endpoint.
-    fn first_victims(&mut self, views: &PoolView, demand: &Demand<'_>) -> Vec<Option<CheapestVictims>> {
-        if let Some(need) = Need::of(demand)
-            && let Some(position) = self.cheapest.iter().position(|(known, _)| *known == need)
-        {
-            return self.cheapest.swap_remove(position).1;
+    /// Cheapest victims for the first task on each endpoint. Those that are known are found anew where units were placed
+    /// or claims made since.
+    fn first_victims(&mut self, views: &PoolView, demand: &Demand<'_>) -> Vec<First> {
+        let known = Need::of(demand).and_then(|need| self.cheapest.iter().position(|(known, _)| *known == need));
+        let Some(position) = known else {
+            return (0..views.len()).map(|index| self.first(views, demand, index)).collect();
+        };
+        let mut first = self.cheapest.swap_remove(position).1;
+        for (index, known) in first.iter_mut().enumerate() {
+            if known.claimable != views[index].claimable() {
+                *known = self.first(views, demand, index);
+            }
+        }
+        first
+    }
+
+    /// Cheapest victims for the first task on an endpoint.
+    fn first(&self, views: &PoolView, demand: &Demand<'_>, index: usize) -> First {
+        First {
+            claimable: views[index].claimable(),
+            found: self.cheapest_victims(views, demand, index, 0, &BTreeSet::new()),
         }
-        let none = BTreeSet::new();
-        (0..views.len())
-            .map(|index| self.cheapest_victims(views, demand, index, 0, &none))
-            .collect()
     }
 
     /// Cheapest victims on an endpoint for one more task, where `taken` tasks are already planned and `stopped` victims
@@ -218,7 +237,7 @@
     table: &'s VictimTable,
     demand: &'s Demand<'s>,
     /// Cheapest victims for the first task on each endpoint.
-    first: &'s [Option<CheapestVictims>],
+    first: &'s [First],
 }
 
 impl Search<'_> {
@@ -233,6 +252,7 @@
             .iter()
             .filter_map(|index| {
                 self.first[*index]
+                    .found
                     .as_ref()
                     .map(|found| Reverse((Cost(found.0), *index)))
             })
@@ -241,7 +261,7 @@
         for _ in 0..self.demand.count {
             let (index, price, victims) = loop {
                 let Reverse((queued, index)) = queue.pop()?;
-                let present = changed.get(&index).unwrap_or(&self.first[index]);
+                let present = changed.get(&index).unwrap_or(&self.first[index].found);
                 // An entry that does not match was replaced by a later one.
                 if let Some((price, victims)) = present
                     && Cost(*price) == queued
@@ -260,7 +280,7 @@
                 touched.extend(self.table.victims[victim].rooms.keys().copied());
             }
             for other in touched {
-                let known = changed.get(&other).unwrap_or(&self.first[other]).is_some();
+                let known = changed.get(&other).unwrap_or(&self.first[other].found).is_some();
                 if other != index && (!known || group.binary_search(&other).is_err()) {
                     continue;
                 }
--- a/tests/dispatch/preempt.rs
+++ b/tests/dispatch/preempt.rs
@@ -149,3 +149,21 @@
 
     assert_eq!(count_of(&world.starts, "one"), 1);
 }
+
+/// Guards against a claim for which nothing is stopped because it counts on resources that another job has just taken.
+#[test]
+fn a_claim_does_not_count_on_resources_taken_in_the_same_round() {
+    let mut world = World::new(3);
+    fill(&mut world, 2);
+    // The first fits nowhere, not even with victims; the second takes the free endpoint.
+    world.submit("a", "urgent", vec![gang(4, 8, 2_000)]);
+    world.submit("b", "urgent", vec![gang(1, 8, 2_000)]);
+    world.submit("c", "urgent", vec![gang(1, 8, 2_000)]);
+    world.round();
+    assert_eq!(count_of(&world.starts, "b"), 1);
+
+    stop_all(&mut world, 0);
+    let starts = world.advance(150);
+
+    assert_eq!(count_of(&starts, "c"), 1);
+}
