Keep an endpoint open whose start was held back

What callers saw: an urgent unit waited for its claim although the victims had stopped; the claim was dropped after its timeout.

Cause: a unit that is preempted right after it was placed has starts that are not sent any more. The dispatcher took "not sent" for an endpoint that cannot be reached and placed nothing there for 1 s, longer than a claim lasts. The claim for which the unit was stopped was on that endpoint, so it could not be met.

Change: a start that was not sent because its run had been given up says nothing about the endpoint.

The test fails without the change. Looked at besides: a start that is refused as old because its stop came first closes the endpoint for 200 ms, less than a claim lasts; left as it is.

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -85,6 +85,11 @@
                 // If this was not the first attempt, an earlier one without an answer may still be carried out.
                 let first_attempt = matches!(state, MemberState::Sent { tries: 1, .. });
                 log::info!(task:% = start.task, run = start.run, endpoint:% = start.endpoint, error:% = error; "start order refused or not sent");
+                // The order may have been held back because of that, which says nothing about the endpoint.
+                let given_up = matches!(state, MemberState::Stopping { .. });
+                if given_up && matches!(error, OrderError::NotSent(_)) {
+                    return;
+                }
                 let unavailable = !matches!(
                     error,
                     OrderError::Refused {
--- a/tests/dispatch/preempt.rs
+++ b/tests/dispatch/preempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use yuccaridge::dispatch::Start;
-use yuccaridge::port::Outcome;
+use yuccaridge::port::{OrderError, Outcome};
 
 use crate::world::{World, gang, step};
 
@@ -167,3 +167,22 @@
 
     assert_eq!(count_of(&starts, "c"), 1);
 }
+
+/// Guards against closing an endpoint for a start that was held back because its run had been given up: the claim for which
+/// it was given up could not be met.
+#[test]
+fn a_start_that_was_held_back_does_not_close_its_endpoint() {
+    let mut world = World::new(1);
+    world.submit("batch", "batch", vec![step(1, 8, 60_000)]);
+    let start = world.advance(50)[0].clone();
+    world.submit("one", "urgent", vec![gang(1, 8, 2_000)]);
+    world.round();
+    assert_eq!(world.stops.len(), 1, "the run is given up before its start is sent");
+
+    let held_back = OrderError::NotSent("the run is no longer to be started".to_owned());
+    world.dispatcher.started(&start, Err(held_back), world.now);
+    stop_all(&mut world, 0);
+    let starts = world.advance(150);
+
+    assert_eq!(count_of(&starts, "one"), 1);
+}
