Meet a claim on its endpoints whatever their speed is by then

What callers saw: an urgent unit waited for its claim although all of its victims had stopped, until the claim was dropped.

Cause: a claim excluded endpoints below the speed that counted as slow when it was made, its own endpoints as well. Estimates change with each report, so one of its endpoints could fall below that speed while the victims stopped. The other endpoints of the claim then stood empty for the rest of its time, and further victims were stopped for the next one.

Change: if the unit fits nowhere else, it takes the endpoints of its claim once each has room. They were suitable when units were stopped for them. `slow` is no longer a reason for which a claim is dropped, so it goes out of the log line.

The test fails without the change.

--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -16,7 +16,7 @@
     pub need: Resources,
     /// All tasks have to be in one rack.
     pub adjacent: bool,
-    /// Endpoints below this speed are excluded.
+    /// Other endpoints below this speed are excluded.
     pub min_speed: f64,
     /// When the claim was made, in milliseconds.
     pub since: u64,
@@ -27,8 +27,6 @@
 pub(super) struct Obstacles<'c> {
     /// They accept no new work.
     pub closed: Vec<&'c str>,
-    /// They are slower than the claim allows.
-    pub slow: Vec<&'c str>,
     /// Their resources are in use.
     pub occupied: Vec<&'c str>,
 }
@@ -44,16 +42,14 @@
     }
 
     /// What keeps it from being met.
-    fn obstacles(&self, endpoints: &BTreeMap<Arc<str>, Endpoint>, typical_log_speed: f64, now: u64) -> Obstacles<'_> {
+    fn obstacles(&self, endpoints: &BTreeMap<Arc<str>, Endpoint>, now: u64) -> Obstacles<'_> {
         let mut found = Obstacles::default();
         for (name, tasks) in &self.tasks_by_endpoint {
             let Some(endpoint) = endpoints.get(name).filter(|endpoint| endpoint.is_open(now)) else {
                 found.closed.push(&**name);
                 continue;
             };
-            if endpoint.speed_estimate.smoothed(typical_log_speed).exp() < self.min_speed {
-                found.slow.push(&**name);
-            } else if endpoint.free().fit_count(&self.need, *tasks) < *tasks {
+            if endpoint.free().fit_count(&self.need, *tasks) < *tasks {
                 found.occupied.push(&**name);
             }
         }
@@ -67,10 +63,10 @@
         let timeout_ms = self.tuning.claim_timeout_ms;
         let expired = self.claims.extract_if(.., |_, claim| claim.since + timeout_ms <= now);
         for ((job, unit), claim) in expired {
-            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, now);
-            let (closed, slow, occupied) = (found.closed.join(","), found.slow.join(","), found.occupied.join(","));
+            let found = claim.obstacles(&self.endpoints, now);
+            let (closed, occupied) = (found.closed.join(","), found.occupied.join(","));
             let (held_ms, endpoints) = (now - claim.since, claim.tasks_by_endpoint.len());
-            log::info!(job:% = job, unit, held_ms, endpoints, closed, slow, occupied; "claim dropped without a start");
+            log::info!(job:% = job, unit, held_ms, endpoints, closed, occupied; "claim dropped without a start");
             self.counts.claims_dropped += 1;
         }
     }
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use super::EndpointView;
+use super::claim::Claim;
 use super::permit::Permit;
 use super::pool_view::PoolView;
 use crate::port::Resources;
@@ -215,11 +216,16 @@
 }
 
 /// Chooses endpoints for units with the same demand, as many as fit one after another. More than one unit must be single
-/// tasks.
-pub(super) fn place_alike(views: &PoolView, demand: &Demand<'_>, units: &[usize]) -> Vec<(usize, Vec<usize>)> {
+/// tasks; a unit with a claim must be alone.
+pub(super) fn place_alike(
+    views: &PoolView,
+    demand: &Demand<'_>,
+    units: &[usize],
+    claim: Option<&Claim>,
+) -> Vec<(usize, Vec<usize>)> {
     let units = units.iter().copied();
     if units.len() <= 1 {
-        let chosen = place(views, demand);
+        let chosen = place(views, demand).or_else(|| place_claimed(views, demand, claim?));
         return units.zip(chosen).collect();
     }
     let chosen = place_singles(views, demand, units.len());
@@ -293,6 +299,24 @@
     (chosen.len() == demand.count as usize).then_some((any_slow, chosen))
 }
 
+/// Endpoints of a claim by index, once each has room for the tasks that it is to take; the claim must not be booked in
+/// `views`. The speeds that made them suitable when it was made no longer count, since units were stopped for them.
+fn place_claimed(views: &PoolView, demand: &Demand<'_>, claim: &Claim) -> Option<Vec<usize>> {
+    let demand = Demand {
+        min_speed: 0.0,
+        ..demand.clone()
+    };
+    let mut chosen = Vec::new();
+    for (name, tasks) in &claim.tasks_by_endpoint {
+        let index = views.index_of(name)?;
+        if demand.allowed_tasks(&views[index], &views[index].available()) < *tasks {
+            return None;
+        }
+        chosen.extend(std::iter::repeat_n(index, *tasks as usize));
+    }
+    Some(chosen)
+}
+
 /// Whether some rack could hold the unit if the rack were empty.
 pub(super) fn fits_one_rack(views: &PoolView, demand: &Demand<'_>) -> bool {
     let any_rack = !demand.rack_local_only && demand.min_speed <= 0.0 && demand.per_endpoint_max == 0;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -183,7 +183,7 @@
                 vec![position]
             };
             alike.truncate(recordable);
-            let chosen = place::place_alike(views, &demand, &alike);
+            let chosen = place::place_alike(views, &demand, &alike, claim.as_ref());
             if let Some(room) = &mut record_room {
                 // Without a place now, the unit may still be placed in another way below.
                 for position in alike.iter().take(chosen.len().max(1)) {
--- a/tests/dispatch/preempt.rs
+++ b/tests/dispatch/preempt.rs
@@ -168,6 +168,30 @@
     assert_eq!(count_of(&starts, "c"), 1);
 }
 
+/// Guards against a claim that is not met although its victim has stopped, because its endpoint has turned out to be slow.
+#[test]
+fn a_claim_is_met_on_an_endpoint_that_became_slow() {
+    let mut world = World::new(2);
+    let starts = fill(&mut world, 2);
+    for start in &starts {
+        world.report(&start.endpoint, &[(&start.task, 1, 2.0)], &[]);
+    }
+    world.submit("one", "urgent", vec![gang(1, 8, 2_000)]);
+    world.round();
+    assert_eq!(world.stops.len(), 1);
+    world.advance(400);
+    let (claimed, others): (Vec<&Start>, Vec<&Start>) = starts
+        .iter()
+        .partition(|start| start.endpoint == world.stops[0].endpoint);
+    world.report(&others[0].endpoint, &[(&others[0].task, 1, 95.0)], &[]);
+    world.report(&claimed[0].endpoint, &[(&claimed[0].task, 1, 12.5)], &[]);
+
+    stop_all(&mut world, 0);
+    let starts = world.advance(150);
+
+    assert_eq!(count_of(&starts, "one"), 1);
+}
+
 /// Guards against closing an endpoint for a start that was held back because its run had been given up: the claim for which
 /// it was given up could not be met.
 #[test]
