Count a job against the guarantee in the order of acceptance

What callers saw: an urgent job within its team's guarantee waited for seconds without a claim because its team submitted another one, and started when that one ended. A job within the guarantee could be stopped for another team for the same reason.

Cause: the urgent jobs of a team were added up, and all of them were within the guarantee or none. A later job took the guarantee away from the earlier ones: they could not claim any more, and their runs counted as work that other teams may stop.

Change: a job counts with those of its team that were accepted before it. Once it is within the guarantee it stays so unless the configuration changes, whatever comes after it. Both uses of the guarantee go by this: the right to claim at any cost, and the protection from such claims.

Evidence: both tests fail without the change: the earlier job does not start within 2,700 ms and nothing is stopped for it; the job within the guarantee is stopped for another team.

--- a/src/dispatch/guarantee.rs
+++ b/src/dispatch/guarantee.rs
@@ -1,19 +1,26 @@
 //! Guarantees: which urgent jobs may preempt others at any cost, and from when on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{Dispatcher, Job};
 
 impl Dispatcher {
-    /// Accelerators that the urgent jobs of each team hold or demand.
-    pub(super) fn urgent_accelerators(&self) -> BTreeMap<Arc<str>, u64> {
-        let mut urgent_accelerators: BTreeMap<Arc<str>, u64> = BTreeMap::new();
-        for job in self.urgent_jobs() {
-            let sum = urgent_accelerators.entry(Arc::clone(&job.team)).or_default();
-            *sum = sum.saturating_add(job.accelerator_demand());
+    /// Urgent jobs that are within the guarantees of their teams: each counts with those that were accepted before it, so that
+    /// a later job of its team does not change whether it is.
+    pub(super) fn guaranteed_jobs(&self) -> BTreeSet<Arc<str>> {
+        let mut by_acceptance: Vec<&Job> = self.urgent_jobs().collect();
+        by_acceptance.sort_unstable_by(|a, b| acceptance(a).cmp(&acceptance(b)));
+        let mut demands: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut guaranteed = BTreeSet::new();
+        for job in by_acceptance {
+            let demand = demands.entry(&job.team).or_default();
+            *demand = demand.saturating_add(job.accelerator_demand());
+            if *demand <= self.guaranteed_accelerators(&job.team) {
+                guaranteed.insert(Arc::clone(&job.id));
+            }
         }
-        urgent_accelerators
+        guaranteed
     }
 
     /// Urgent jobs that have not ended.
@@ -23,12 +30,6 @@
             .filter(|job| job.is_urgent() && !job.phase.is_final())
     }
 
-    /// Whether the urgent jobs of the team, including this one, are within its guarantee.
-    pub(super) fn is_guaranteed(&self, id: &Arc<str>, urgent_accelerators: &BTreeMap<Arc<str>, u64>) -> bool {
-        let team = &self.jobs[id].team;
-        urgent_accelerators.get(team).copied().unwrap_or(0) <= self.guaranteed_accelerators(team)
-    }
-
     fn guaranteed_accelerators(&self, team: &str) -> u64 {
         self.config.teams.get(team).map_or(0, |team| team.guaranteed)
     }
@@ -64,7 +65,7 @@
         let (mut team_demand, mut earlier_demand, mut report_age_ms) = (0_u64, 0_u64, 0);
         for other in self.urgent_jobs().filter(|other| other.team == job.team) {
             team_demand = team_demand.saturating_add(other.accelerator_demand());
-            if (other.accepted_at, &other.id) < (job.accepted_at, &job.id) {
+            if acceptance(other) < acceptance(job) {
                 earlier_demand = earlier_demand.saturating_add(other.accelerator_demand());
             }
             for member in other.units.iter().flat_map(|unit| &unit.members) {
@@ -96,3 +97,8 @@
         );
     }
 }
+
+/// Order in which jobs were accepted.
+fn acceptance(job: &Job) -> (u64, &str) {
+    (job.accepted_at, &job.id)
+}
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -1,6 +1,6 @@
 //! Preemption: claims resources for urgent units and stops the units that hold them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::Dispatcher;
@@ -35,7 +35,7 @@
     }
 
     /// Finds the cheapest victims whose stop lets an urgent unit start, and the claim that keeps their resources for
-    /// it. `include_borrowers` allows urgent jobs of teams that exceed their guarantee as victims.
+    /// it. `include_borrowers` allows urgent jobs beyond the guarantees of their teams as victims.
     pub(super) fn plan_claim(
         &self,
         views: &PoolView,
@@ -75,12 +75,10 @@
         now: u64,
     ) -> &'c mut VictimTable {
         if include_borrowers {
-            let urgent_accelerators = cache
-                .urgent_accelerators
-                .get_or_insert_with(|| self.urgent_accelerators());
+            let guaranteed = cache.guaranteed.get_or_insert_with(|| self.guaranteed_jobs());
             cache
                 .with_borrowers
-                .get_or_insert_with(|| VictimTable::new(views, self.victims(views, Some(urgent_accelerators), now)))
+                .get_or_insert_with(|| VictimTable::new(views, self.victims(views, Some(guaranteed), now)))
         } else {
             cache
                 .victims
@@ -122,20 +120,12 @@
         table.claim(views, &found.plan);
     }
 
-    /// Units that may be stopped for an urgent one, among them urgent ones of teams whose urgent jobs demand more than
-    /// their guarantee if these demands are given.
-    fn victims(
-        &self,
-        views: &PoolView,
-        urgent_accelerators: Option<&BTreeMap<Arc<str>, u64>>,
-        now: u64,
-    ) -> Vec<Victim> {
+    /// Units that may be stopped for an urgent one, among them urgent ones beyond the guarantees of their teams if the jobs
+    /// within these are given.
+    fn victims(&self, views: &PoolView, guaranteed: Option<&BTreeSet<Arc<str>>>, now: u64) -> Vec<Victim> {
         let mut victims = Vec::new();
         for (id, job) in &self.jobs {
-            let may_stop = match urgent_accelerators {
-                Some(accelerators) => !job.is_urgent() || !self.is_guaranteed(id, accelerators),
-                None => !job.is_urgent(),
-            };
+            let may_stop = !job.is_urgent() || guaranteed.is_some_and(|guaranteed| !guaranteed.contains(id));
             if job.queue.is_none() || !may_stop {
                 continue;
             }
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -344,7 +344,11 @@
         }
         let mut demand = self.demand(views, id, position, rank, now);
         demand.min_speed = views.slow_below();
-        let guarantee_due = self.guarantee_is_due(id, now) && self.is_guaranteed(id, &self.urgent_accelerators());
+        let guarantee_due = self.guarantee_is_due(id, now)
+            && cache
+                .guaranteed
+                .get_or_insert_with(|| self.guaranteed_jobs())
+                .contains(id);
         let mut plan = self
             .plan_claim(views, &demand, false, cache, now)
             .filter(|plan| guarantee_due || !rank.is_late() && plan.cost <= self.claim_limit(id, position, now));
--- a/src/dispatch/round_cache.rs
+++ b/src/dispatch/round_cache.rs
@@ -1,6 +1,6 @@
 //! What a scheduling round computes at most once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::reservation::Reservation;
@@ -11,10 +11,10 @@
 pub(super) struct RoundCache {
     /// Units that any urgent unit may stop.
     pub victims: Option<VictimTable>,
-    /// The same with the urgent jobs of teams that exceed their guarantee.
+    /// The same with the urgent jobs beyond the guarantees of their teams.
     pub with_borrowers: Option<VictimTable>,
-    /// Accelerators that the urgent jobs of each team hold or demand.
-    pub urgent_accelerators: Option<BTreeMap<Arc<str>, u64>>,
+    /// Urgent jobs within the guarantees of their teams.
+    pub guaranteed: Option<BTreeSet<Arc<str>>>,
     /// Endpoints reserved for blocked gangs, by job and position of the unit.
     pub reservations: BTreeMap<(Arc<str>, usize), Reservation>,
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -10,6 +10,7 @@
 mod event;
 mod fleet;
 mod gang;
+mod guarantee;
 mod idle;
 mod incarnation;
 mod large_jobs;
