Free the resources of a run whose only start was not carried out

What callers saw: an urgent unit waited for its claim until the claim was dropped, although nothing ran on the endpoints in its way.

Cause: a unit can be preempted between its placement and its start. If the start was then held back or refused, the run does not exist, but its resources stayed in use until a report that was asked for after the stop did not list it. Nothing ends on the endpoint, so that report takes up to the longest wait of a hold, 1 s, which is longer than a claim lasts.

Change: a member that is being stopped keeps whether its one start has no answer yet. If that start was not sent or was refused, its resources are free at once, as they already were without the stop.

The test fails without the change.

A start is counted only once it is released again, and a run that is being stopped is not started again, so one start without an answer is the only one.

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -82,30 +82,23 @@
                     self.refused_as_old(start, now);
                     return;
                 }
-                // If this was not the first attempt, an earlier one without an answer may still be carried out.
-                let first_attempt = matches!(state, MemberState::Sent { tries: 1, .. });
                 log::info!(task:% = start.task, run = start.run, endpoint:% = start.endpoint, error:% = error; "start order refused or not sent");
-                // The order may have been held back because of that, which says nothing about the endpoint.
-                let given_up = matches!(state, MemberState::Stopping { .. });
-                if given_up && matches!(error, OrderError::NotSent(_)) {
-                    return;
+                if let OrderError::Refused { refusal, .. } = &error {
+                    self.ticket_refused(&start.job, start.unit, &start.endpoint, *refusal);
                 }
-                let unavailable = !matches!(
-                    error,
+                let given_up = matches!(state, MemberState::Stopping { .. });
+                let back_off_ms = match error {
                     OrderError::Refused {
                         refusal: Refusal::Room | Refusal::Late | Refusal::Ticket,
                         ..
-                    }
-                );
-                if let OrderError::Refused { refusal, .. } = &error {
-                    self.ticket_refused(&start.job, start.unit, &start.endpoint, *refusal);
-                }
-                if unavailable {
-                    self.back_off(&start.endpoint, tuning.start_backoff_ms, now);
-                } else {
-                    self.back_off(&start.endpoint, NO_ROOM_BACKOFF_MS, now);
-                }
-                if first_attempt {
+                    } => NO_ROOM_BACKOFF_MS,
+                    // The order was held back because of that, which says nothing about the endpoint.
+                    OrderError::NotSent(_) if given_up => 0,
+                    _ => tuning.start_backoff_ms,
+                };
+                self.back_off(&start.endpoint, back_off_ms, now);
+                // If this was not the first attempt, an earlier one without an answer may still be carried out.
+                if state.is_first_start() {
                     self.member_gone(&start.job, start.unit, start.member, "start refused", now);
                 }
                 self.stop_unit(&start.job, start.unit, "a start was refused", now);
@@ -120,6 +113,7 @@
         self.member(start).state = MemberState::Stopping {
             acked_at: Some(now),
             resend_at: now,
+            start_pending: false,
         };
         self.back_off(&start.endpoint, NO_ROOM_BACKOFF_MS, now);
     }
@@ -145,7 +139,10 @@
         if member.born != stop.born {
             return;
         }
-        if let MemberState::Stopping { acked_at, resend_at } = &mut member.state {
+        if let MemberState::Stopping {
+            acked_at, resend_at, ..
+        } = &mut member.state
+        {
             match answer {
                 Ok(_) => *acked_at = Some(now),
                 Err(error) => {
@@ -186,6 +183,7 @@
                     member.state = MemberState::Stopping {
                         acked_at: None,
                         resend_at: now + self.tuning.resend_ms,
+                        start_pending: member.state.is_first_start(),
                     };
                     self.effects.push(Effect::Stop(Stop {
                         endpoint: Arc::clone(&member.endpoint),
@@ -331,6 +329,7 @@
                         MemberState::Stopping {
                             acked_at: None,
                             resend_at,
+                            ..
                         } if *resend_at <= now => {
                             *resend_at = now + self.tuning.resend_ms;
                             self.effects.push(Effect::Stop(Stop {
--- a/src/dispatch/incarnation.rs
+++ b/src/dispatch/incarnation.rs
@@ -58,7 +58,9 @@
                 let (unit, index) = (placed_run.unit, placed_run.member);
                 self.member_gone(&placed_run.job, unit, index, "endpoint started again", now);
             }
-            MemberState::Stopping { acked_at, resend_at } => {
+            MemberState::Stopping {
+                acked_at, resend_at, ..
+            } => {
                 *acked_at = None;
                 *resend_at = now + self.tuning.resend_ms;
             }
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -24,11 +24,27 @@
         acked_at: Option<u64>,
         /// When to resend the stop, in milliseconds.
         resend_at: u64,
+        /// Its start was released once and has no answer yet; if it is not carried out, the run does not exist.
+        start_pending: bool,
     },
     /// The run is known to be gone; its resources are free.
     Gone,
 }
 
+impl MemberState {
+    /// Whether one start order has been released, without an answer so far.
+    pub(super) fn is_first_start(self) -> bool {
+        matches!(
+            self,
+            Self::Sent { tries: 1, .. }
+                | Self::Stopping {
+                    start_pending: true,
+                    ..
+                }
+        )
+    }
+}
+
 /// One member of a unit in its current run.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Member {
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -300,6 +300,7 @@
             member.state = MemberState::Stopping {
                 acked_at: None,
                 resend_at: now + self.tuning.resend_ms,
+                start_pending: member.state.is_first_start(),
             };
             self.effects.push(Effect::Stop(Stop {
                 endpoint: Arc::clone(&member.endpoint),
--- a/tests/dispatch/preempt.rs
+++ b/tests/dispatch/preempt.rs
@@ -210,3 +210,19 @@
 
     assert_eq!(count_of(&starts, "one"), 1);
 }
+
+/// Guards against a claim that is not met because a run whose start was never sent counts until a report does not list it.
+#[test]
+fn a_run_whose_start_was_held_back_frees_its_resources_at_once() {
+    let mut world = World::new(1);
+    world.submit("batch", "batch", vec![step(1, 8, 60_000)]);
+    let start = world.advance(50)[0].clone();
+    world.submit("one", "urgent", vec![gang(1, 8, 2_000)]);
+    world.round();
+
+    let held_back = OrderError::NotSent("the run is no longer to be started".to_owned());
+    world.dispatcher.started(&start, Err(held_back), world.now);
+    let starts = world.advance(50);
+
+    assert_eq!(count_of(&starts, "one"), 1);
+}
