Replace a claim on a slow endpoint at once unless it is due

"Meet a claim on its endpoints whatever their speed is by then" did so for any claim. A guarantee that is due needs that, but before, a gang on a slow endpoint takes twice as long for all of its members, and the caller's job is late.

Change: before the guarantee is due such a claim is dropped at once instead of at its timeout, and the next one is planned in the same round; what the first has freed counts as free for it. Once it is due, it is met where it was made.

--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -27,6 +27,8 @@
 pub(super) struct Obstacles<'c> {
     /// They accept no new work.
     pub closed: Vec<&'c str>,
+    /// They have become slower than the claim allows.
+    pub slow: Vec<&'c str>,
     /// Their resources are in use.
     pub occupied: Vec<&'c str>,
 }
@@ -42,14 +44,16 @@
     }
 
     /// What keeps it from being met.
-    fn obstacles(&self, endpoints: &BTreeMap<Arc<str>, Endpoint>, now: u64) -> Obstacles<'_> {
+    fn obstacles(&self, endpoints: &BTreeMap<Arc<str>, Endpoint>, typical_log_speed: f64, now: u64) -> Obstacles<'_> {
         let mut found = Obstacles::default();
         for (name, tasks) in &self.tasks_by_endpoint {
             let Some(endpoint) = endpoints.get(name).filter(|endpoint| endpoint.is_open(now)) else {
                 found.closed.push(&**name);
                 continue;
             };
-            if endpoint.free().fit_count(&self.need, *tasks) < *tasks {
+            if endpoint.speed_estimate.smoothed(typical_log_speed).exp() < self.min_speed {
+                found.slow.push(&**name);
+            } else if endpoint.free().fit_count(&self.need, *tasks) < *tasks {
                 found.occupied.push(&**name);
             }
         }
@@ -58,15 +62,24 @@
 }
 
 impl Dispatcher {
-    /// Drops the claims that have waited too long for their victims.
-    pub(super) fn drop_expired_claims(&mut self, now: u64) {
+    /// Drops the claims that have waited too long for their victims, and those with an endpoint that has become too slow
+    /// unless their guarantee is due: there is time for better ones.
+    pub(super) fn drop_claims(&mut self, now: u64) {
         let timeout_ms = self.tuning.claim_timeout_ms;
-        let expired = self.claims.extract_if(.., |_, claim| claim.since + timeout_ms <= now);
-        for ((job, unit), claim) in expired {
-            let found = claim.obstacles(&self.endpoints, now);
-            let (closed, occupied) = (found.closed.join(","), found.occupied.join(","));
+        let mut dropped = Vec::new();
+        for ((job, unit), claim) in &self.claims {
+            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, now);
+            let expired = claim.since + timeout_ms <= now;
+            if !expired && (found.slow.is_empty() || self.guarantee_is_due(job, now)) {
+                continue;
+            }
             let (held_ms, endpoints) = (now - claim.since, claim.tasks_by_endpoint.len());
-            log::info!(job:% = job, unit, held_ms, endpoints, closed, occupied; "claim dropped without a start");
+            let (closed, slow, occupied) = (found.closed.join(","), found.slow.join(","), found.occupied.join(","));
+            log::info!(job:% = job, unit, held_ms, endpoints, closed, slow, occupied; "claim dropped without a start");
+            dropped.push((Arc::clone(job), *unit));
+        }
+        for key in dropped {
+            self.claims.remove(&key);
             self.counts.claims_dropped += 1;
         }
     }
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -87,7 +87,7 @@
     pub(super) fn round(&mut self, now: u64, wall_ms: u64) {
         self.typical_log_speed =
             speed::typical_log_speed(self.endpoints.values().map(|endpoint| &endpoint.speed_estimate));
-        self.drop_expired_claims(now);
+        self.drop_claims(now);
         let mut ranked: Vec<(Rank, Arc<str>)> = Vec::new();
         for (id, job) in &self.jobs {
             if job.phase.is_final() || job.queue.is_none() || job.index.waiting.is_empty() {
