Put the dropping of claims with the other decisions of preemption

Moves drop_claims into preempt.rs, Obstacles into a file of its own, and names the check of a start order for what it says.

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -98,7 +98,7 @@
                 };
                 self.back_off(&start.endpoint, back_off_ms, now);
                 // If this was not the first attempt, an earlier one without an answer may still be carried out.
-                if state.is_first_start() {
+                if state.has_one_start() {
                     self.member_gone(&start.job, start.unit, start.member, "start refused", now);
                 }
                 self.stop_unit(&start.job, start.unit, "a start was refused", now);
@@ -183,7 +183,7 @@
                     member.state = MemberState::Stopping {
                         acked_at: None,
                         resend_at: now + self.tuning.resend_ms,
-                        start_pending: member.state.is_first_start(),
+                        start_pending: member.state.has_one_start(),
                     };
                     self.effects.push(Effect::Stop(Stop {
                         endpoint: Arc::clone(&member.endpoint),
--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -1,10 +1,11 @@
-//! Claims of urgent units.
+//! Claims: what is kept for an urgent unit while its victims stop.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::Endpoint;
+use super::obstacles::Obstacles;
 use super::pool_view::PoolView;
-use super::{Dispatcher, Endpoint};
 use crate::port::Resources;
 
 /// Resources that are kept for an urgent unit while its victims stop.
@@ -22,17 +23,6 @@
     pub since: u64,
 }
 
-/// Endpoints of a claim that cannot take their tasks now, by the reason.
-#[derive(Debug, Default, Clone, PartialEq, Eq)]
-pub(super) struct Obstacles<'c> {
-    /// They accept no new work.
-    pub closed: Vec<&'c str>,
-    /// They have become slower than the claim allows.
-    pub slow: Vec<&'c str>,
-    /// Their resources are in use.
-    pub occupied: Vec<&'c str>,
-}
-
 impl Claim {
     /// Sets its resources aside on its endpoints, or releases them.
     pub fn apply(&self, views: &mut PoolView, release: bool) {
@@ -44,7 +34,12 @@
     }
 
     /// What keeps it from being met.
-    fn obstacles(&self, endpoints: &BTreeMap<Arc<str>, Endpoint>, typical_log_speed: f64, now: u64) -> Obstacles<'_> {
+    pub fn obstacles(
+        &self,
+        endpoints: &BTreeMap<Arc<str>, Endpoint>,
+        typical_log_speed: f64,
+        now: u64,
+    ) -> Obstacles<'_> {
         let mut found = Obstacles::default();
         for (name, tasks) in &self.tasks_by_endpoint {
             let Some(endpoint) = endpoints.get(name).filter(|endpoint| endpoint.is_open(now)) else {
@@ -60,27 +55,3 @@
         found
     }
 }
-
-impl Dispatcher {
-    /// Drops the claims that have waited too long for their victims, and those with an endpoint that has become too slow
-    /// unless their guarantee is due: there is time for better ones.
-    pub(super) fn drop_claims(&mut self, now: u64) {
-        let timeout_ms = self.tuning.claim_timeout_ms;
-        let mut dropped = Vec::new();
-        for ((job, unit), claim) in &self.claims {
-            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, now);
-            let expired = claim.since + timeout_ms <= now;
-            if !expired && (found.slow.is_empty() || self.guarantee_is_due(job, now)) {
-                continue;
-            }
-            let (held_ms, endpoints) = (now - claim.since, claim.tasks_by_endpoint.len());
-            let (closed, slow, occupied) = (found.closed.join(","), found.slow.join(","), found.occupied.join(","));
-            log::info!(job:% = job, unit, held_ms, endpoints, closed, slow, occupied; "claim dropped without a start");
-            dropped.push((Arc::clone(job), *unit));
-        }
-        for key in dropped {
-            self.claims.remove(&key);
-            self.counts.claims_dropped += 1;
-        }
-    }
-}
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -32,8 +32,8 @@
 }
 
 impl MemberState {
-    /// Whether one start order has been released, without an answer so far.
-    pub(super) fn is_first_start(self) -> bool {
+    /// Whether a single start order has been released and has no answer yet.
+    pub(super) fn has_one_start(self) -> bool {
         matches!(
             self,
             Self::Sent { tries: 1, .. }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -30,6 +30,7 @@
 mod lease_bound;
 mod lease_source;
 mod member;
+mod obstacles;
 mod permit;
 mod persist;
 mod place;
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -120,6 +120,28 @@
         table.claim(views, &found.plan);
     }
 
+    /// Drops the claims that have waited too long for their victims, and those with an endpoint that has become too slow
+    /// unless their guarantee is due: there is time for better ones.
+    pub(super) fn drop_claims(&mut self, now: u64) {
+        let timeout_ms = self.tuning.claim_timeout_ms;
+        let mut dropped = Vec::new();
+        for ((job, unit), claim) in &self.claims {
+            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, now);
+            let expired = claim.since + timeout_ms <= now;
+            if !expired && (found.slow.is_empty() || self.guarantee_is_due(job, now)) {
+                continue;
+            }
+            let (held_ms, endpoints) = (now - claim.since, claim.tasks_by_endpoint.len());
+            let (closed, slow, occupied) = (found.closed.join(","), found.slow.join(","), found.occupied.join(","));
+            log::info!(job:% = job, unit, held_ms, endpoints, closed, slow, occupied; "claim dropped without a start");
+            dropped.push((Arc::clone(job), *unit));
+        }
+        for key in dropped {
+            self.claims.remove(&key);
+            self.counts.claims_dropped += 1;
+        }
+    }
+
     /// Units that may be stopped for an urgent one, among them urgent ones beyond the guarantees of their teams if the jobs
     /// within these are given.
     fn victims(&self, views: &PoolView, guaranteed: Option<&BTreeSet<Arc<str>>>, now: u64) -> Vec<Victim> {
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -300,7 +300,7 @@
             member.state = MemberState::Stopping {
                 acked_at: None,
                 resend_at: now + self.tuning.resend_ms,
-                start_pending: member.state.is_first_start(),
+                start_pending: member.state.has_one_start(),
             };
             self.effects.push(Effect::Stop(Stop {
                 endpoint: Arc::clone(&member.endpoint),
