Bound the memory of bodies that clients hold

What callers saw: clients that sent most of a large or chunked body and kept their connections open ended an instance, which ran out of memory.

Cause: each connection kept what had arrived of its body, and nothing counted the bodies together. A chunk of one byte cost some 38 bytes. At the limit of connections the server accepted no others, also while those that it had were idle or did not read their answers.

Change: a table of the connections of a server reserves memory as bodies arrive, a sixteenth of the memory of the machine (`limits.body_kb`). What exceeds it is answered with 503 and Retry-After: the request that has held the most memory for the longest time, or the large body that outweighs all others. Bodies above 16 KiB may take three quarters. At the limit of connections (descriptors, or an eighth of the memory, `limits.caller_connections`) the one that has waited longest is closed; a request that is being handled never is. A client that does not read its answer is cut off. A body is collected in one buffer, and a job is decoded up to the number of steps that it may have.

Why it works: what a body holds is freed when it is refused, not when its task runs next, so that the sum never exceeds the budget; nothing was handled of what is refused, so that 503 is true.

Ruled out: shares for client addresses, since behind a load balancer many clients have one; limits on what is declared, since that is free.

--- a/src/graph/job_graph.rs
+++ b/src/graph/job_graph.rs
@@ -8,7 +8,7 @@
 const PAYLOAD_BYTES_MAX: usize = 4_000;
 
 /// Most tasks of one job, over all steps and occurrences. Keeps the record of a job below the row limit of 64 KiB.
-const TASKS_MAX: u64 = 1_000;
+pub(super) const TASKS_MAX: u64 = 1_000;
 
 /// A job as its caller submitted it.
 #[derive(Clone, PartialEq, Message)]
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -4,6 +4,7 @@
 //! of a gang step form one unit that runs as a whole or not at all; every other task is a unit of its own. The submitted
 //! graph never changes; [`JobRecord`] holds the state of the job.
 
+mod bounded_steps;
 mod error;
 mod job_graph;
 mod job_record;
@@ -15,6 +16,7 @@
 mod task_name;
 mod unit_record;
 
+pub use bounded_steps::bounded_steps;
 pub use error::GraphError;
 pub use job_graph::JobGraph;
 pub use job_record::JobRecord;
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod config_view;
+mod deadline;
 mod denial;
 mod follow;
 mod service;
@@ -14,6 +15,7 @@
 
 pub use admission::Admission;
 pub use config_view::ConfigView;
+pub use deadline::answer_deadline;
 pub use denial::Denial;
 pub use follow::follow_config;
 pub use service::JobService;
--- a/src/lead/election.rs
+++ b/src/lead/election.rs
@@ -17,6 +17,20 @@
 use crate::net::SteadyClock;
 use crate::port::{Commit, EntryDecoder, Orders, Range, RowKey, RowStore, StoreError};
 
+/// Interval at which the leader renews its row, in milliseconds; several renewals fit into `LEADER_EXPIRY_MS`.
+const LEADER_RENEWAL_MS: u64 = 500;
+
+/// Age of the last renewal at which another instance takes over, in milliseconds: three renewals, and longer than a renewal
+/// takes on a store that is sixty times as slow as usual.
+const LEADER_EXPIRY_MS: u64 = 1_500;
+
+/// Time that an instance with a whole core waits before it becomes leader, in milliseconds; smaller ones wait longer.
+const TAKEOVER_DELAY_MS: f64 = 30.0;
+
+/// How long the rows of an ended job are kept, as a multiple of the time for which callers may query it. A submission that
+/// is repeated after that creates a new job; repeated submissions arrive seconds late.
+const ENDED_JOB_RETENTION_FACTOR: f64 = 4.0;
+
 /// Intervals and timeouts of the election, with the instance's processor share and the retention time of rows.
 #[derive(Debug, Clone)]
 pub struct Timing {
@@ -32,6 +46,20 @@
     pub retention_ms: u64,
 }
 
+impl Timing {
+    /// Times of an instance with this share of a processor core, if callers may query an ended job for `query_s` seconds.
+    /// An instance with a larger share takes over sooner.
+    pub fn for_instance(cpu_share: f64, query_s: f64) -> Self {
+        Self {
+            heartbeat_interval_ms: LEADER_RENEWAL_MS,
+            heartbeat_timeout_ms: LEADER_EXPIRY_MS,
+            takeover_delay_ms: (TAKEOVER_DELAY_MS / cpu_share) as u64,
+            retention_ms: (query_s * ENDED_JOB_RETENTION_FACTOR * 1_000.0) as u64,
+            millicores: (cpu_share * 1_000.0) as u32,
+        }
+    }
+}
+
 /// An instance that takes part in the election, with all it needs to lead.
 #[derive(Debug)]
 pub struct Candidate<R, O, E> {
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use super::ConnectionMetrics;
+
 /// Labels of an answer to a caller.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AnswerLabel {
@@ -36,6 +38,8 @@
 #[derive(Debug)]
 pub struct InstanceMetrics {
     registry: Registry,
+    /// Connections of callers.
+    pub connections: ConnectionMetrics,
     answers: Family<AnswerLabel, Counter>,
     answer_time: Histogram,
     activity_time: Family<ActivityLabel, Histogram>,
@@ -76,6 +80,7 @@
         let answer_time = Histogram::new(exponential_buckets(0.001, 2.0, 15));
         let mut metrics = Self {
             registry: Registry::with_prefix("yuccaridge"),
+            connections: ConnectionMetrics::default(),
             answers: Family::default(),
             answer_time,
             activity_time: Family::new_with_constructor(activity_histogram),
@@ -97,6 +102,7 @@
             config_version: Gauge::default(),
         };
         let registry = &mut metrics.registry;
+        metrics.connections.register(registry);
         registry.register("answers", "Answers to callers", metrics.answers.clone());
         registry.register_with_unit(
             "answer_time",
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,20 +2,23 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
-use tokio::task::{JoinSet, spawn_local};
+use tokio::sync::watch;
+use tokio::task::{JoinSet, spawn_local, yield_now};
 
-use super::timeout_stream::{Phase, SharedPhase, TimeoutStream};
+use super::ConnectionTable;
+use super::connection::{Connection, Phase};
+use super::connection_table::{BodyError, Slot};
+use super::timeout_stream::TimeoutStream;
 use crate::port::HttpLimits;
 
 /// Smallest read buffer that hyper accepts, in bytes.
@@ -24,6 +27,9 @@
 /// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time after which a client may repeat a request that was refused for lack of memory, in seconds.
+const REFUSED_RETRY_AFTER_S: u16 = 1;
+
 /// Handles the requests of a server.
 pub trait Handler: 'static {
     /// Answers a request, whose body has been read completely.
@@ -51,20 +57,15 @@
     }
 }
 
-/// Starts a server on `listener` with at most `max_connections` connections at a time.
-pub fn serve<H>(listener: TcpListener, handler: Rc<H>, max_connections: usize) -> Server
+/// Starts a server on `listener` whose connections are kept in `table`.
+pub fn serve<H>(listener: TcpListener, handler: Rc<H>, table: Rc<ConnectionTable>) -> Server
 where
     H: Handler,
 {
     let (stop, mut stop_signal) = watch::channel(false);
     let done = spawn_local(async move {
-        let permits = Arc::new(Semaphore::new(max_connections));
         let mut connections = JoinSet::new();
         loop {
-            let permit = tokio::select! {
-                permit = Arc::clone(&permits).acquire_owned() => permit,
-                _ = stop_signal.changed() => break,
-            };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = stop_signal.changed() => break,
@@ -72,12 +73,12 @@
             while connections.try_join_next().is_some() {}
             match accepted {
                 Ok((stream, _)) => {
+                    let Some(slot) = table.accept() else { continue };
                     let handler = Rc::clone(&handler);
                     let stop_signal = stop_signal.clone();
-                    connections.spawn_local(async move {
-                        handle_connection(stream, handler, stop_signal).await;
-                        drop(permit);
-                    });
+                    connections.spawn_local(handle_connection(stream, slot, handler, stop_signal));
+                    // A connection that was closed for this one gives up its descriptor before the next is accepted.
+                    yield_now().await;
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "accepting an HTTP connection failed");
@@ -91,7 +92,7 @@
     Server { stop, done }
 }
 
-async fn handle_connection<H>(stream: TcpStream, handler: Rc<H>, mut stop_signal: watch::Receiver<bool>)
+async fn handle_connection<H>(stream: TcpStream, slot: Slot, handler: Rc<H>, mut stop_signal: watch::Receiver<bool>)
 where
     H: Handler,
 {
@@ -99,16 +100,17 @@
         log::debug!(error:% = error; "setting TCP_NODELAY on an accepted connection failed");
     }
     let limits = handler.limits();
-    let phase = SharedPhase::new();
+    let state = Rc::clone(&slot.connection);
     let idle_timeout = Duration::from_millis(limits.idle_ms);
     let request_timeout = Duration::from_millis(limits.header_ms);
-    let timeout_stream = TimeoutStream::new(stream, Rc::clone(&phase), idle_timeout, request_timeout);
-    let service = service_fn(move |request: Request<Incoming>| {
+    let timeout_stream = TimeoutStream::new(stream, Rc::clone(&state), idle_timeout, request_timeout);
+    let service = service_fn(|request: Request<Incoming>| {
         let handler = Rc::clone(&handler);
-        let phase = Rc::clone(&phase);
+        let (connection, table) = (Rc::clone(&state), Rc::clone(&slot.table));
         async move {
-            let answer = answer(&*handler, &phase, request).await;
-            phase.set(Phase::Idle);
+            let answer = answer(&*handler, &table, &connection, request).await;
+            table.release(&connection);
+            connection.enter(Phase::Idle);
             Ok::<_, Infallible>(answer)
         }
     });
@@ -119,9 +121,13 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => ended,
+        () = state.closed() => return,
         _ = stop_signal.changed() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = &mut connection => ended,
+                () = state.closed() => return,
+            }
         }
     };
     if let Err(error) = ended {
@@ -129,32 +135,61 @@
     }
 }
 
-async fn answer<H>(handler: &H, phase: &SharedPhase, request: Request<Incoming>) -> Response<Full<Bytes>>
+async fn answer<H>(
+    handler: &H,
+    table: &ConnectionTable,
+    connection: &Connection,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>>
 where
     H: Handler,
 {
     let (parts, body) = request.into_parts();
-    let limit = handler.limits().body_bytes;
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            let status = if error.is::<LengthLimitError>() {
-                StatusCode::PAYLOAD_TOO_LARGE
-            } else {
-                StatusCode::BAD_REQUEST
-            };
-            return empty_response(status);
-        }
+    let received = tokio::select! {
+        biased;
+        () = connection.refused() => Err(StatusCode::SERVICE_UNAVAILABLE),
+        received = receive(table, connection, body, handler.limits().body_bytes) => received,
+    };
+    let body = match received {
+        Ok(body) => body,
+        Err(status) => return refusal(status),
     };
-    phase.set(Phase::Handling);
+    connection.enter(Phase::Handling);
     handler.answer(Request::from_parts(parts, body)).await
 }
 
-fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
+/// Reads a body of at most `limit` bytes.
+async fn receive(
+    table: &ConnectionTable,
+    connection: &Connection,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<Bytes, StatusCode> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            log::debug!(error:% = error; "receiving the body of a request failed");
+            StatusCode::BAD_REQUEST
+        })?;
+        let Some(part) = frame.data_ref() else { continue };
+        table.append(connection, part, limit).map_err(|error| match error {
+            BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        })?;
+    }
+    Ok(Bytes::from(connection.body.take()))
+}
+
+/// Answer to a request that was not passed to the handler, after which the connection is closed.
+fn refusal(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::new()));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert("connection", hyper::header::HeaderValue::from_static("close"));
+    let headers = response.headers_mut();
+    headers.insert("connection", HeaderValue::from_static("close"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert("retry-after", HeaderValue::from(REFUSED_RETRY_AFTER_S));
+    }
     response
 }
--- a/src/net/timeout_stream.rs
+++ b/src/net/timeout_stream.rs
@@ -1,6 +1,5 @@
-//! TCP stream with read timeouts that depend on the phase of the request.
+//! TCP stream with read timeouts that depend on the phase of the request, and a timeout of writes.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,60 +8,50 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
-/// Phase of a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// Waiting for the first byte of a request.
-    Idle,
-    /// Waiting for the rest of a request.
-    Request,
-    /// Waiting for the handler to answer; reads do not time out.
-    Handling,
-}
+use super::connection::{Connection, Phase};
 
-/// Phase of a connection and its start, shared by the stream and the HTTP service.
-#[derive(Debug)]
-pub(super) struct SharedPhase {
-    current: Cell<Phase>,
-    since: Cell<Instant>,
-}
-
-impl SharedPhase {
-    /// A connection that waits for a request.
-    pub fn new() -> Rc<Self> {
-        Rc::new(Self {
-            current: Cell::new(Phase::Idle),
-            since: Cell::new(Instant::now()),
-        })
-    }
-
-    /// Enters a phase and restarts its timeout.
-    pub fn set(&self, next: Phase) {
-        self.current.set(next);
-        self.since.set(Instant::now());
-    }
-}
-
-/// TCP stream whose reads fail when a phase takes too long.
+/// TCP stream whose reads fail when a phase takes too long, and whose writes fail when the client does not read.
 #[derive(Debug)]
 pub(super) struct TimeoutStream {
     stream: TcpStream,
-    phase: Rc<SharedPhase>,
+    connection: Rc<Connection>,
     idle_timeout: Duration,
     request_timeout: Duration,
     timer: Pin<Box<Sleep>>,
+    /// Runs while a write waits for the client.
+    write_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl TimeoutStream {
-    pub fn new(stream: TcpStream, phase: Rc<SharedPhase>, idle_timeout: Duration, request_timeout: Duration) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        connection: Rc<Connection>,
+        idle_timeout: Duration,
+        request_timeout: Duration,
+    ) -> Self {
         Self {
             stream,
-            phase,
+            connection,
             idle_timeout,
             request_timeout,
             timer: Box::pin(sleep_until(Instant::now() + idle_timeout)),
+            write_timer: None,
+        }
+    }
+
+    /// Result of a write, or a timeout if the client has not read for too long.
+    fn limit_write(&mut self, context: &mut Context<'_>, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_timer = None;
+            return written;
+        }
+        let span = self.request_timeout;
+        let timer = self.write_timer.get_or_insert_with(|| Box::pin(sleep(span)));
+        match timer.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
         }
     }
 }
@@ -72,17 +61,17 @@
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buf);
         if result.is_ready() {
-            if buf.filled().len() > before && self.phase.current.get() == Phase::Idle {
-                self.phase.set(Phase::Request);
+            if buf.filled().len() > before && self.connection.phase() == Phase::Idle {
+                self.connection.enter(Phase::Request);
             }
             return result;
         }
-        let limit = match self.phase.current.get() {
+        let limit = match self.connection.phase() {
             Phase::Idle => self.idle_timeout,
             Phase::Request => self.request_timeout,
             Phase::Handling => return Poll::Pending,
         };
-        let deadline = self.phase.since.get() + limit;
+        let deadline = self.connection.since() + limit;
         if self.timer.deadline() != deadline {
             self.timer.as_mut().reset(deadline);
         }
@@ -95,7 +84,8 @@
 
 impl AsyncWrite for TimeoutStream {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buf)
+        let written = Pin::new(&mut self.stream).poll_write(context, buf);
+        self.limit_write(context, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -111,7 +101,8 @@
         context: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bufs);
+        self.limit_write(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::timeout;
-use yuccaridge::net::{Client, Handler, RequestError, Server, serve};
+use yuccaridge::net::{Client, ConnectionTable, Handler, RequestError, Server, serve};
 use yuccaridge::port::HttpLimits;
 
 /// Longer than any timeout below, so a connection that is open after this time was not closed.
@@ -56,7 +56,7 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let server = serve(listener, Rc::new(Echo), 64);
+        let server = serve(listener, Rc::new(Echo), ConnectionTable::of_connections(64));
         test(address, server).await;
     });
 }
