Test the orders of a cancelling and a late submission

So each step of a cancelling is crossed with the late write of the submission, a repeated submission, and the end of the leader, in steps of 1 or 2 ms; through one, two and three instances. Further tests hold the cancelling's own write back, deliver job and cancellation in one page of the feed or of the takeover, shift the accepting clock by 5 s, write a cancellation again during its removal, take over between the two reads of the clean-up, apply a write after the job has ended, and cancel by another queue. A test on sockets covers reused connections.

These orders keep the promise.

The store fixture can lose hints now.

--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -1,5 +1,6 @@
 //! Tests of leader election and of accepting jobs, with an in-memory store and virtual time.
 
+mod cancel_orders;
 mod election;
 mod expired_lead;
 mod holds;
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -111,6 +111,11 @@
         });
     }
 
+    /// Delivers no more hints to the instances that have been started.
+    pub fn lose_hints(&self) {
+        self.state.borrow_mut().hint_inboxes.clear();
+    }
+
     /// Declines all calls that access a partition from now on.
     pub fn block_partition(&self, partition: &str) {
         self.state.borrow_mut().blocked_partitions.insert(Arc::from(partition));
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -169,16 +169,21 @@
     }
 }
 
-/// Writes the rows of a job that a former leader stored.
-pub fn put_job_rows(store: &MemoryStore, id: &str, phase: Vec<u8>, record: Vec<u8>) {
+/// Row of a submission that an instance accepted at this time of its own clock.
+pub fn submission(accepted_ms: u64) -> Vec<u8> {
     let submission = Submission {
         queue: "batch".to_owned(),
         team: String::new(),
         graph: graph(),
-        accepted_ms: 0,
+        accepted_ms,
         settings: None,
     };
-    store.put(JOB, id, submission.encode_to_vec());
+    submission.encode_to_vec()
+}
+
+/// Writes the rows of a job that a former leader stored.
+pub fn put_job_rows(store: &MemoryStore, id: &str, phase: Vec<u8>, record: Vec<u8>) {
+    store.put(JOB, id, submission(0));
     store.put(PHASE, id, phase);
     store.put(RECORD, id, record);
 }
@@ -308,6 +313,13 @@
         self.jobs.cancel(&admission(team, id), id, deadline()).await
     }
 
+    /// Cancels a job by the address of another queue.
+    pub async fn cancel_in(&self, queue: &str, id: &str) -> Result<(), Denial> {
+        let mut admission = admission("", id);
+        Arc::make_mut(&mut admission.queue).name = Arc::from(queue);
+        self.jobs.cancel(&admission, id, deadline()).await
+    }
+
     /// Submits a job with one task.
     pub async fn submit(&self, id: &str) -> Result<(), Denial> {
         self.submit_as("", id).await
--- a/tests/net.rs
+++ b/tests/net.rs
@@ -187,3 +187,60 @@
         assert!(matches!(error, RequestError::Unknown(_)), "{error:?}");
     });
 }
+
+/// Reads a request and answers it.
+async fn answer_one(stream: &mut TcpStream) {
+    read_one(stream).await;
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(answer).await.expect("room to write");
+}
+
+/// Reads a request with the body `x`.
+async fn read_one(stream: &mut TcpStream) {
+    let mut request = Vec::new();
+    while !request.ends_with(b"\r\n\r\nx") {
+        request.push(stream.read_u8().await.expect("a request"));
+    }
+}
+
+/// Guards against a request that is carried out twice, or said not to have been sent, because the server closed a reused
+/// connection: it is sent again only if the server has not read it.
+#[test]
+fn a_request_on_a_closed_connection_is_sent_again_only_if_it_was_not_written() {
+    for reads in [true, false] {
+        run(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address: Arc<str> = Arc::from(listener.local_addr().expect("an address").to_string());
+            let client = Client::default();
+            let call = || {
+                let request = Request::post("/").body(Full::new(Bytes::from("x"))).expect("a request");
+                client.call(&address, request, CALL_TIME)
+            };
+            let server = async {
+                let (mut first, _) = listener.accept().await.expect("a connection");
+                answer_one(&mut first).await;
+                if reads {
+                    read_one(&mut first).await;
+                }
+                drop(first);
+                let Ok(accepted) = timeout(2 * CALL_TIME, listener.accept()).await else {
+                    return false;
+                };
+                answer_one(&mut accepted.expect("a connection").0).await;
+                true
+            };
+            let calls = async {
+                call().await.expect("an answer");
+                call().await
+            };
+
+            let (answer, connected_again) = tokio::join!(calls, server);
+
+            assert_eq!(connected_again, !reads, "{answer:?}");
+            match answer {
+                Ok(answer) => assert!(!reads, "{answer:?}"),
+                Err(error) => assert!(reads && matches!(error, RequestError::Unknown(_)), "{error:?}"),
+            }
+        });
+    }
+}
