Withdraw every submission that the caller could cancel

What callers saw: on a queue open to all, a submission with a key got 504 and the cancelling without it 410 (no such job), or the other way round; the job ran afterwards. An instance that doesn't know a new key yet takes its owner for a caller without one, so this also happens to a caller who sends the same key twice.

Cause: the row of the cancelling has the digest of the cancelling team in its key, and a submission expected the absence of the row of its own team only. A stored job may be cancelled by its team, by a caller without one, and by anybody if it has none.

Change: a cancelling writes the row of its team and one for any team in one transaction. A submission of a team expects neither the row of the team nor that of callers without one; a submission without a team expects no row at all. So exactly those submissions are stopped whose job the caller could cancel once it is stored, and a caller without a key gains nothing that it couldn't do a moment later.

cancellations_of_unknown_jobs_are_limited_and_removed counted one row for each cancelling; it now expects exactly two.

Ruled out: one row for all teams. It would let a team stop the jobs of another (a_team_withdraws_only_its_own_jobs). Left: a key that moves from one team to another between submission and cancelling. The stored job is denied to the new team (403), and its 410 stops no submission of the old one.

--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -11,7 +11,9 @@
 use super::withdrawal_limit::WithdrawalLimit;
 use super::{Admission, ConfigView, Denial};
 use crate::graph::{JobGraph, Phase, QueueSettings, Submission};
-use crate::lead::{CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, decode_phase, intake_partition, withdrawal_key};
+use crate::lead::{
+    CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, barring_keys, decode_phase, intake_partition, withdrawal_keys,
+};
 use crate::net::wall_ms;
 use crate::port::{Commit, Range, Row, RowKey, RowStore, StoreError};
 
@@ -122,15 +124,17 @@
             accepted_ms: wall_ms(),
             settings: Some(QueueSettings::of(&admission.queue, admission.config_version)),
         };
-        let (job, withdrawal) = (RowKey::new(INTAKE, id), withdrawal_key(id, &admission.team));
+        let job = RowKey::new(INTAKE, id);
+        let withdrawals = barring_keys(id, &admission.team);
+        let absent = withdrawals.iter().chain([&job]);
         let commit = Commit {
             partition: intake_partition(id),
-            expect: vec![(job.clone(), 0), (withdrawal.clone(), 0)],
+            expect: absent.map(|key| (key.clone(), 0)).collect(),
             put: vec![(job.clone(), submission.encode_to_vec())],
             remove: Vec::new(),
         };
         let written = self.write(&commit, deadline).await?;
-        if written.found(&withdrawal) && !written.found(&job) {
+        if withdrawals.iter().any(|key| written.found(key)) && !written.found(&job) {
             return Err(Denial::Withdrawn);
         }
         // Another conflict means that the job was accepted before: the caller chooses the id, so it is the same job.
@@ -176,17 +180,18 @@
         }
     }
 
-    /// Makes the store refuse submissions of a job by this team, also those that are under way, unless it is stored;
-    /// returns whether it is not.
+    /// Makes the store refuse submissions of a job that this caller could cancel, also those that are under way, unless the
+    /// job is stored; returns whether it is not.
     async fn withdraw(&self, admission: &Admission, id: &str, deadline: Instant) -> Result<bool, Denial> {
         if !self.withdrawals.borrow_mut().take(&admission.team, Instant::now()) {
             return Err(Denial::TooMany);
         }
+        let keys = withdrawal_keys(id, &admission.team);
         let commit = Commit {
             partition: intake_partition(id),
             expect: vec![(RowKey::new(INTAKE, id), 0)],
-            // Written anew by each call, so that the row is kept long enough after the last one.
-            put: vec![(withdrawal_key(id, &admission.team), b"x".to_vec())],
+            // Written anew by each call, so that the rows are kept long enough after the last one.
+            put: keys.into_iter().map(|key| (key, b"x".to_vec())).collect(),
             remove: Vec::new(),
         };
         Ok(matches!(self.write(&commit, deadline).await?, Written::Applied))
--- a/src/lead/mod.rs
+++ b/src/lead/mod.rs
@@ -34,6 +34,6 @@
 pub use overload::OverloadDetector;
 pub use stored_bounds::{StoredBound, StoredBounds};
 pub use tables::{
-    BOUNDS, CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, WITHDRAWN, decode_phase,
-    encode_phase, intake_partition, withdrawal_key,
+    BOUNDS, CANCEL_SUFFIX, INTAKE, JOB, LEAD, LEARNED, LEDGER, PENDING, PHASE, RECORD, WITHDRAWN, barring_keys,
+    decode_phase, encode_phase, intake_partition, withdrawal_keys,
 };
--- a/src/lead/tables.rs
+++ b/src/lead/tables.rs
@@ -14,8 +14,8 @@
 /// Suffix that turns a job id into the key of its cancellation.
 pub const CANCEL_SUFFIX: &str = ".x";
 
-/// Cancellations of jobs that were not known, by [`withdrawal_key`]; written by the instance that accepted them. While
-/// such a row is there, the store applies no submission of the job by that team.
+/// Cancellations of jobs that were not known, by [`withdrawal_keys`]; written by the instance that accepted them. While
+/// one of the [`barring_keys`] of a submission is there, the store doesn't apply it.
 pub const WITHDRAWN: &str = "withdrawn";
 
 /// Submissions by job id, copied from [`INTAKE`] by the leader, so that the next leader can resume known jobs without
@@ -59,15 +59,37 @@
     (0..INTAKE_PARTITIONS).map(|number| Arc::from(number.to_string()))
 }
 
-/// Key of the row of [`WITHDRAWN`] for a job and a team, in the partition of the job. The digest of the team's name has the
-/// same length for all teams, since the length of keys is limited.
-pub fn withdrawal_key(id: &str, team: &str) -> RowKey {
+/// Suffix of the row of [`WITHDRAWN`] that a cancellation by any team writes.
+const ANY_TEAM: &str = "any";
+
+/// Keys of the rows of [`WITHDRAWN`] that a cancellation by a team writes, in the partition of the job.
+pub fn withdrawal_keys(id: &str, team: &str) -> [RowKey; 2] {
+    [withdrawal_key(id, &team_digest(team)), withdrawal_key(id, ANY_TEAM)]
+}
+
+/// Keys of the rows of [`WITHDRAWN`] each of which bars a submission by a team: those of the callers that could cancel the
+/// job once it is stored. These are the team and callers without one; a job without a team can be cancelled by all.
+pub fn barring_keys(id: &str, team: &str) -> [RowKey; 2] {
+    let others = if team.is_empty() {
+        ANY_TEAM.to_owned()
+    } else {
+        team_digest("")
+    };
+    [withdrawal_key(id, &team_digest(team)), withdrawal_key(id, &others)]
+}
+
+fn withdrawal_key(id: &str, suffix: &str) -> RowKey {
+    RowKey::new(WITHDRAWN, format!("{id}.{suffix}"))
+}
+
+/// Digest of a team's name; it has the same length for all teams, since the length of keys is limited.
+fn team_digest(team: &str) -> String {
     let digest = Sha256::digest(team.as_bytes());
-    let team = digest
+    let number = digest
         .iter()
         .take(8)
         .fold(0_u64, |number, byte| number << 8 | u64::from(*byte));
-    RowKey::new(WITHDRAWN, format!("{id}.{team:016x}"))
+    format!("{number:016x}")
 }
 
 /// Encodes the value of a row of [`PHASE`].
--- a/tests/lead/cancel_orders.rs
+++ b/tests/lead/cancel_orders.rs
@@ -303,3 +303,28 @@
         check(&store, &instances, cancelled, "another queue").await;
     });
 }
+
+/// Guards against a cancelling that is acknowledged and does not hold, since its caller and that of the submission count as
+/// different teams: a queue that is open to all takes requests without a key or with one that an instance doesn't know yet.
+#[test]
+fn whoever_may_cancel_a_stored_job_also_stops_its_submission() {
+    for (submitter, canceller) in [("", ""), ("shops", "shops"), ("", "shops"), ("shops", "")] {
+        run_in_virtual_time(async {
+            let order = format!("submitted by {submitter:?}, cancelled by {canceller:?}");
+            let (store, instances) = site().await;
+            store.apply_next_write_late(INTAKE, 5_000);
+
+            let submitted = instances[0].submit_as(submitter, ID).await;
+            let cancelled = instances[1].cancel_as(canceller, ID).await;
+
+            assert_eq!(
+                (submitted, cancelled),
+                (Err(Denial::Unknown), Err(Denial::NoJob)),
+                "{order}"
+            );
+            check(&store, &instances, cancelled, &order).await;
+            let repeated = instances[2].submit_as(submitter, ID).await;
+            assert_eq!(repeated, Err(Denial::Withdrawn), "{order}");
+        });
+    }
+}
--- a/tests/lead/withdrawals.rs
+++ b/tests/lead/withdrawals.rs
@@ -130,7 +130,7 @@
         assert_eq!(denials[0], Err(Denial::NoJob));
         assert_eq!(denials[199], Err(Denial::TooMany));
         assert!(accepted <= 60, "{accepted} accepted");
-        assert_eq!(written, accepted);
+        assert_eq!(written, 2 * accepted);
         assert_eq!(other_team, Err(Denial::NoJob));
         assert_eq!(later, Err(Denial::NoJob));
         assert_eq!(store.count(WITHDRAWN), 0);
