Don't deny a submission of which an attempt is under way

What callers saw: a submission got 410 (the job was cancelled before it arrived), and the job ran to its end.

Cause: the first attempt had no answer, since the store applied it late. The second met the row of a cancelling, and the submission was denied. That row was at the end of its 90 to 180 s and was removed before the first attempt was applied, so nothing stopped that.

Change: if an attempt before the conflict had no answer, the caller gets 504, the outcome is unknown. That is what a declined attempt after an unanswered one already got.

Ruled out: writing the row again before the 410. It would keep the answer 410, but a caller that goes on would never get the id back. Left: two requests. A submission that got 504 may still be applied after its repetition got 410, if the row is removed in between. The cancelling was acknowledged 90 s or more before that.

The store fixture can limit the wait for an answer, as the platform's client does.

--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -44,8 +44,13 @@
 #[derive(Debug)]
 enum Written {
     Applied,
-    /// A row has another version than expected; holds the present versions.
-    Conflict(Vec<(RowKey, u64)>),
+    /// A row has another version than expected.
+    Conflict {
+        /// The present versions.
+        versions: Vec<(RowKey, u64)>,
+        /// Whether an earlier attempt has had no answer; it may still be applied.
+        unanswered: bool,
+    },
 }
 
 impl Written {
@@ -53,7 +58,7 @@
     fn found(&self, key: &RowKey) -> bool {
         match self {
             Self::Applied => false,
-            Self::Conflict(versions) => versions.iter().any(|(found, version)| found == key && *version > 0),
+            Self::Conflict { versions, .. } => versions.iter().any(|(found, version)| found == key && *version > 0),
         }
     }
 }
@@ -135,7 +140,11 @@
         };
         let written = self.write(&commit, deadline).await?;
         if withdrawals.iter().any(|key| written.found(key)) && !written.found(&job) {
-            return Err(Denial::Withdrawn);
+            return Err(match written {
+                // The withdrawal may be removed before that attempt is applied.
+                Written::Conflict { unanswered: true, .. } => Denial::Unknown,
+                _ => Denial::Withdrawn,
+            });
         }
         // Another conflict means that the job was accepted before: the caller chooses the id, so it is the same job.
         self.hints.send(id);
@@ -262,7 +271,7 @@
             let time_left = deadline.saturating_duration_since(Instant::now());
             match self.rows.commit_within(commit, time_left).await {
                 Ok(_) => return Ok(Written::Applied),
-                Err(StoreError::Conflict(versions)) => return Ok(Written::Conflict(versions)),
+                Err(StoreError::Conflict(versions)) => return Ok(Written::Conflict { versions, unanswered }),
                 Err(StoreError::Declined(_)) => {}
                 Err(error) => {
                     log::debug!(error:% = error; "no answer to a write; retrying");
--- a/tests/lead/cancel_orders.rs
+++ b/tests/lead/cancel_orders.rs
@@ -328,3 +328,30 @@
         });
     }
 }
+
+/// Guards against a submission that is denied as cancelled and runs nevertheless: its first attempt had no answer, the second
+/// met a cancellation, and that was removed before the store applied the first.
+#[test]
+fn a_submission_that_is_denied_as_cancelled_never_runs() {
+    let mut answers = Vec::new();
+    for offset_ms in (0..4_000).step_by(200) {
+        run_in_virtual_time(async {
+            let (store, instances) = site().await;
+            let cancelled = instances[1].cancel(ID).await;
+            sleep_ms(177_000 + offset_ms).await;
+            store.limit_answer_wait(300);
+            store.apply_next_write_late(INTAKE, 5_000);
+
+            let submitted = instances[0].submit(ID).await;
+            sleep_ms(10_000).await;
+
+            assert_eq!(cancelled, Err(Denial::NoJob), "{offset_ms}");
+            if submitted == Err(Denial::Withdrawn) {
+                assert_eq!(store.count(JOB), 0, "{offset_ms}: denied and stored");
+            }
+            answers.push((submitted, store.count(JOB)));
+        });
+    }
+    assert!(answers.contains(&(Err(Denial::Unknown), 1)), "{answers:?}");
+    assert!(answers.contains(&(Ok(()), 1)), "{answers:?}");
+}
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use yuccaridge::lead::{HintQueues, INTAKE};
 use yuccaridge::port::{Changes, Commit, Page, Range, Row, RowKey, RowStore, StoreError};
 
@@ -33,6 +33,8 @@
     panic_table: Option<Arc<str>>,
     /// Table for which the next transaction that writes to it is applied late and not answered, and by how much.
     late_table: Option<(Arc<str>, Duration)>,
+    /// Longest wait of a caller for the answer to a transaction.
+    answer_wait: Duration,
     /// Additional delay of the answer to the next transaction.
     answer_delay: Duration,
     /// Additional delay of the answers to reads of partitions.
@@ -69,6 +71,7 @@
             declined_commits: 0,
             panic_table: None,
             late_table: None,
+            answer_wait: Duration::MAX,
             answer_delay: Duration::ZERO,
             read_delay: Duration::ZERO,
             history_gone: false,
@@ -116,6 +119,11 @@
         self.state.borrow_mut().hint_inboxes.clear();
     }
 
+    /// Makes callers wait at most `ms` milliseconds for the answer to a transaction.
+    pub fn limit_answer_wait(&self, ms: u64) {
+        self.state.borrow_mut().answer_wait = Duration::from_millis(ms);
+    }
+
     /// Declines all calls that access a partition from now on.
     pub fn block_partition(&self, partition: &str) {
         self.state.borrow_mut().blocked_partitions.insert(Arc::from(partition));
@@ -332,7 +340,8 @@
         if timeout_at(end, self.connect()).await.is_err() {
             return Err(StoreError::Declined(0));
         }
-        let answer = timeout_at(end, self.transact(commit)).await;
+        let answer_wait = self.state.borrow().answer_wait.min(end - Instant::now());
+        let answer = timeout(answer_wait, self.transact(commit)).await;
         answer.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".to_owned())))
     }
 
