Start no job before its cancellation can be read

What callers saw: a cancelling got 200, and a task of the job was started more than 3 s after it.

Cause: a new leader knows jobs from the copies of its predecessor. The cancellations lie in the partitions of the intake table. If one of these couldn't be read at the takeover, the leader read it again in the background and started the jobs that it knew in the meantime; its predecessor hadn't stored their end before it was lost.

Evidence: the new test on the code before fails with cancelled: true left: 8, right: 0 (start orders for the cancelled job while its partition is declined).

Change: no further unit of a job is placed until the partition of the job has been read once. Running work, its leases, and the jobs of the other partitions go on. The copies still count as waiting, so that a_new_leader_does_not_wait_for_unavailable_partitions holds unchanged.

The cost: if a partition is down at a takeover, an eighth of the jobs known to the leader waits for it. Before, they were started.

Not changed: a feed that loses its history. The partitions are read again then, and the leader starts jobs meanwhile, though a cancellation may lie in the gap; no run shows that this breaks the 3 s.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -1,6 +1,6 @@
 //! State of the dispatcher and the events that change it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +60,8 @@
     pub(super) advice_in_flight: usize,
     /// Counts since the last [`take_counts`](Self::take_counts).
     pub(super) counts: Counts,
+    /// Jobs of which no further unit may be placed.
+    pub(super) suspended: BTreeSet<Arc<str>>,
     /// Set when no further unit may be placed.
     paused: bool,
     last_round: u64,
@@ -114,6 +116,7 @@
             changed: true,
             advice_in_flight: 0,
             counts: Counts::default(),
+            suspended: BTreeSet::new(),
             paused: false,
             last_round: 0,
             round_time_ms: 0.0,
@@ -379,6 +382,24 @@
         self.paused = true;
     }
 
+    /// Stops placing units of the jobs for which `applies` returns true, until they are resumed.
+    pub fn suspend_jobs<F>(&mut self, applies: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let jobs = self.jobs.keys().filter(|id| applies(id));
+        self.suspended.extend(jobs.cloned());
+    }
+
+    /// Places units again of the suspended jobs for which `applies` returns true.
+    pub fn resume_jobs<F>(&mut self, applies: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.suspended.retain(|id| !applies(id));
+        self.changed = true;
+    }
+
     /// When the next round is due, in milliseconds.
     fn next_round(&self) -> u64 {
         let spacing = (self.round_time_ms * ROUND_SPACING) as u64;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -93,6 +93,9 @@
             if job.phase.is_final() || job.queue.is_none() || job.index.waiting.is_empty() {
                 continue;
             }
+            if self.suspended.contains(id) {
+                continue;
+            }
             ranked.push((Rank::of(job, &self.work_estimates, now), Arc::clone(id)));
         }
         ranked.sort_unstable();
--- a/src/lead/feeds.rs
+++ b/src/lead/feeds.rs
@@ -95,7 +95,8 @@
 }
 
 /// Reads the accepted jobs of all partitions. Partitions that are unavailable are read again in tasks of their own, so
-/// that they do not delay the jobs of the other partitions and those copied by a former leader.
+/// that they do not delay the jobs of the other partitions. Nothing more of the jobs copied by a former leader is started
+/// until their partition has been read, since it may have their cancellations.
 pub(super) async fn read_intake<R, O, E>(
     candidate: &Candidate<R, O, E>,
     state: &Rc<LeaderState>,
@@ -114,6 +115,10 @@
             Ok(page) => apply_intake_rows(state, &page.rows, candidate.clock.now()),
             Err(error) => {
                 log::warn!(partition:%, error:% = error; "cannot read accepted jobs; trying again until the partition is available");
+                state
+                    .dispatcher
+                    .borrow_mut()
+                    .suspend_jobs(|id| intake_partition(id) == partition);
                 let (candidate, state) = (candidate.clone(), Rc::clone(state));
                 tasks.spawn_local(async move { read_partition_with_retry(&candidate, &state, &partition).await });
             }
@@ -132,6 +137,10 @@
         if let Ok(page) = candidate.rows.read_all(range).await {
             log::info!(partition:%; "read the accepted jobs of a partition");
             apply_intake_rows(state, &page.rows, candidate.clock.now());
+            state
+                .dispatcher
+                .borrow_mut()
+                .resume_jobs(|id| intake_partition(id) == *partition);
             return;
         }
     }
--- a/tests/lead/cancel_orders.rs
+++ b/tests/lead/cancel_orders.rs
@@ -3,7 +3,7 @@
 use tokio::join;
 use yuccaridge::graph::Phase;
 use yuccaridge::intake::Denial;
-use yuccaridge::lead::{INTAKE, JOB, PHASE, WITHDRAWN, decode_phase};
+use yuccaridge::lead::{INTAKE, JOB, PHASE, WITHDRAWN, decode_phase, intake_partition};
 use yuccaridge::net::wall_ms;
 
 use crate::store::MemoryStore;
@@ -355,3 +355,35 @@
     assert!(answers.contains(&(Err(Denial::Unknown), 1)), "{answers:?}");
     assert!(answers.contains(&(Ok(()), 1)), "{answers:?}");
 }
+
+/// Guards against a new leader that starts a job although its cancelling was acknowledged: it knows the job from its
+/// predecessor, which has not stored the end, and can't read the partition with the cancellation yet.
+#[test]
+fn a_leader_starts_no_job_whose_cancellation_it_cannot_read() {
+    for cancels in [true, false] {
+        run_in_virtual_time(async {
+            let store = store();
+            let first = Instance::start(&store, "first", 500);
+            let second = Instance::start(&store, "second", 90);
+            second.answer_holds();
+            sleep_ms(1_000).await;
+            first.submit(ID).await.expect("a store that answers");
+            sleep_ms(1_000).await;
+
+            first.kill();
+            if cancels {
+                second.cancel(ID).await.expect("a store that answers");
+            }
+            store.block_partition(&intake_partition(ID));
+            store.put("endpoints", "10.0.0.1:1", Vec::new());
+            sleep_ms(10_000).await;
+            let before = second.starts().len();
+            store.unblock_partition(&intake_partition(ID));
+            sleep_ms(10_000).await;
+
+            assert_eq!(leader(&store).expect("a leader").0, "second");
+            assert_eq!(before, 0, "cancelled: {cancels}");
+            assert_eq!(second.starts().is_empty(), cancels, "cancelled: {cancels}");
+        });
+    }
+}
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -129,6 +129,11 @@
         self.state.borrow_mut().blocked_partitions.insert(Arc::from(partition));
     }
 
+    /// Ends [`block_partition`](Self::block_partition).
+    pub fn unblock_partition(&self, partition: &str) {
+        self.state.borrow_mut().blocked_partitions.remove(partition);
+    }
+
     /// Delays the answer to the next transaction, which is applied without that delay.
     pub fn delay_next_answer(&self, ms: u64) {
         self.state.borrow_mut().answer_delay = Duration::from_millis(ms);
