List the orders of a cancelling and a late submission

A table in docs/faults.md says for each order what callers are told, what holds the promise, and which test shows it. One order is not held: a key that moves to another team between submission and cancelling.

The page is written by tests/faults/page.rs; its test passes with it.

--- a/tests/faults/page.rs
+++ b/tests/faults/page.rs
@@ -36,6 +36,30 @@
 | after a restart a server that had left, or a key, was in use again | nothing is kept on an instance; lists and keys are read anew, and refused once they are old | `election::the_configuration_stays_fresh_while_the_feeds_are_silent` in `tests/lead`, `incarnation` in `tests/dispatch`; a key withdrawn during a restart is not tested on its own |
 | one malformed message took a process down | numbers from outside saturate, undecodable rows are left out | `odd_rows` in `tests/lead`, `odd_entries`, `odd_jobs` and `odd_reports` in `tests/dispatch`, `odd_input` and `odd_answers` in `platform/tests` |
 
+## Orders of a cancelling and a late submission
+
+A submission gets 504, and the store applies its write seconds later; meanwhile its caller cancels the job. After a 410 or a
+success to the cancelling the job must not run, nor after a 503 to the submission. Tests without a path are in `tests/lead`.
+
+| order | callers are told | what holds it | tests |
+|---|---|---|---|
+| late write before the read of the cancelling, between its read and its write, or after it | 200 if the job is stored before the cancelling's write, else 410 | the submission expects no row of `withdrawn`, the cancelling no row of `intake`; the store applies one of the two | `cancel_orders::a_write_at_any_moment_of_the_cancelling`, `withdrawals::a_job_that_is_stored_meanwhile_is_cancelled` |
+| the same through two instances, and repeated through a third one while the first write is under way | the repetition gets 200 if the cancelling does, else 410 | the same; only the store is asked | `cancel_orders::a_repeated_submission_at_any_moment_of_the_cancelling` |
+| the leader reads the submission before the cancelling | 200 | the leader ends the job when it reads the cancellation; nothing more of it is started later than 3 s after the answer | `withdrawals::a_job_that_is_stored_meanwhile_is_cancelled` |
+| the leader reads the cancelling before the submission, or both in one page | 200 | the leader remembers cancellations of jobs that it hasn't read | `withdrawals::a_cancellation_that_is_read_before_its_job_holds`, `cancel_orders::a_page_with_a_job_and_its_cancellation` |
+| the leader is killed between the two or after them | as above | its successor reads the partitions before it starts anything | `cancel_orders::a_leader_that_is_killed_at_any_moment_of_the_cancelling`, `withdrawals::a_late_submission_stays_cancelled_after_a_takeover` |
+| the successor can't read the partition with the cancellation | 200 to the cancelling | nothing of the jobs of that partition is started until it has been read | `cancel_orders::a_leader_starts_no_job_whose_cancellation_it_cannot_read` |
+| the answer to the cancelling's own write is lost, or the write is late | 504, then 410 or 200 | the same conditions; the write says the same however often it is applied | `withdrawals::a_cancellation_whose_answer_is_lost_holds`, `cancel_orders::a_cancelling_whose_own_write_is_late` |
+| the clock of the accepting instance is 5 s off | 200 | the time of acceptance only ranks jobs; the age of rows counts by versions of the store | `cancel_orders::a_submission_with_the_time_of_another_clock_is_cancelled` |
+| the cancelling is repeated while its row is being removed | 410 | a removal expects the version that was read | `cancel_orders::a_cancellation_that_is_repeated_during_the_removal_is_kept`, `withdrawals::a_cancellation_is_kept_after_the_last_call` |
+| a takeover between the two reads of the clean-up | 410 | a new leader counts the 90 s anew | `cancel_orders::a_takeover_does_not_shorten_the_retention_of_a_cancellation` |
+| late write after the cancelled job has ended | 200 | the rows of an ended job are kept for four times `status_s`, 480 s by default, longer than the 90 s of a late write | `cancel_orders::a_write_that_is_applied_after_the_cancelled_job_has_ended` |
+| a caller without a key, or one that an instance doesn't know yet, on an open queue | 410 | the cancelling stops the submissions whose job its caller could cancel once it is stored | `cancel_orders::whoever_may_cancel_a_stored_job_also_stops_its_submission` |
+| a key moves to another team in between | 410 to the cancelling | **not held**: the late submission belongs to the old team, and the new one may not stop it (403 once it is stored) | `withdrawals::a_team_withdraws_only_its_own_jobs` |
+| another queue of the same team | 410 | rows go by id and team, not by queue | `cancel_orders::a_cancelling_in_another_queue_stops_a_late_submission` |
+| a cancelling meets the second attempt of a submission, and its row is removed before the first is applied | 504 to the submission | a submission is denied as cancelled only if no attempt of it is in doubt | `cancel_orders::a_submission_that_is_denied_as_cancelled_never_runs` |
+| a declined attempt after an unanswered one; no connection in time; a reused connection that the store closes | 504 after an unanswered attempt, else 503 | 503 only if no part of any attempt was sent or the store refused each | `outcome`; `store_outcome` in `platform/tests`; `a_request_on_a_closed_connection_is_sent_again_only_if_it_was_not_written` in `tests/net.rs` |
+
 ## Not covered
 
 - Real processes, threads and sockets: each simulated instance makes one request at a time.
