--- a/src/intake/service.rs
+++ b/src/intake/service.rs
@@ -11,7 +11,9 @@
 use super::withdrawal_limit::WithdrawalLimit;
 use super::{Admission, ConfigView, Denial};
 use crate::graph::{JobGraph, Phase, QueueSettings, Submission};
-use crate::lead::{CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, decode_phase, intake_partition, withdrawal_key};
+use crate::lead::{
+    CANCEL_SUFFIX, Hints, INTAKE, PENDING, PHASE, barring_keys, decode_phase, intake_partition, withdrawal_keys,
+};
 use crate::net::wall_ms;
 use crate::port::{Commit, Range, Row, RowKey, RowStore, StoreError};
 
@@ -42,8 +44,13 @@
 #[derive(Debug)]
 enum Written {
     Applied,
-    /// A row has another version than expected; holds the present versions.
-    Conflict(Vec<(RowKey, u64)>),
+    /// A row has another version than expected.
+    Conflict {
+        /// The present versions.
+        versions: Vec<(RowKey, u64)>,
+        /// Whether an earlier attempt has had no answer; it may still be applied.
+        unanswered: bool,
+    },
 }
 
 impl Written {
@@ -51,7 +58,7 @@
     fn found(&self, key: &RowKey) -> bool {
         match self {
             Self::Applied => false,
-            Self::Conflict(versions) => versions.iter().any(|(found, version)| found == key && *version > 0),
+            Self::Conflict { versions, .. } => versions.iter().any(|(found, version)| found == key && *version > 0),
         }
     }
 }
@@ -122,16 +129,22 @@
             accepted_ms: wall_ms(),
             settings: Some(QueueSettings::of(&admission.queue, admission.config_version)),
         };
-        let (job, withdrawal) = (RowKey::new(INTAKE, id), withdrawal_key(id, &admission.team));
+        let job = RowKey::new(INTAKE, id);
+        let withdrawals = barring_keys(id, &admission.team);
+        let absent = withdrawals.iter().chain([&job]);
         let commit = Commit {
             partition: intake_partition(id),
-            expect: vec![(job.clone(), 0), (withdrawal.clone(), 0)],
+            expect: absent.map(|key| (key.clone(), 0)).collect(),
             put: vec![(job.clone(), submission.encode_to_vec())],
             remove: Vec::new(),
         };
         let written = self.write(&commit, deadline).await?;
-        if written.found(&withdrawal) && !written.found(&job) {
-            return Err(Denial::Withdrawn);
+        if withdrawals.iter().any(|key| written.found(key)) && !written.found(&job) {
+            return Err(match written {
+                // The withdrawal may be removed before that attempt is applied.
+                Written::Conflict { unanswered: true, .. } => Denial::Unknown,
+                _ => Denial::Withdrawn,
+            });
         }
         // Another conflict means that the job was accepted before: the caller chooses the id, so it is the same job.
         self.hints.send(id);
@@ -176,17 +189,18 @@
         }
     }
 
-    /// Makes the store refuse submissions of a job by this team, also those that are under way, unless it is stored;
-    /// returns whether it is not.
+    /// Makes the store refuse submissions of a job that this caller could cancel, also those that are under way, unless the
+    /// job is stored; returns whether it is not.
     async fn withdraw(&self, admission: &Admission, id: &str, deadline: Instant) -> Result<bool, Denial> {
         if !self.withdrawals.borrow_mut().take(&admission.team, Instant::now()) {
             return Err(Denial::TooMany);
         }
+        let keys = withdrawal_keys(id, &admission.team);
         let commit = Commit {
             partition: intake_partition(id),
             expect: vec![(RowKey::new(INTAKE, id), 0)],
-            // Written anew by each call, so that the row is kept long enough after the last one.
-            put: vec![(withdrawal_key(id, &admission.team), b"x".to_vec())],
+            // Written anew by each call, so that the rows are kept long enough after the last one.
+            put: keys.into_iter().map(|key| (key, b"x".to_vec())).collect(),
             remove: Vec::new(),
         };
         Ok(matches!(self.write(&commit, deadline).await?, Written::Applied))
@@ -257,7 +271,7 @@
             let time_left = deadline.saturating_duration_since(Instant::now());
             match self.rows.commit_within(commit, time_left).await {
                 Ok(_) => return Ok(Written::Applied),
-                Err(StoreError::Conflict(versions)) => return Ok(Written::Conflict(versions)),
+                Err(StoreError::Conflict(versions)) => return Ok(Written::Conflict { versions, unanswered }),
                 Err(StoreError::Declined(_)) => {}
                 Err(error) => {
                     log::debug!(error:% = error; "no answer to a write; retrying");
