Bound the bytes that request bodies hold in serve

Clients that stopped short of the end of a body kept its memory, and its place among limits.connections, until they closed the connection.

Cause: each request thread kept its body in a buffer of its own, nothing counted them together, and a read without a timeout blocked for ever.

Change: BodyBudget owns the buffers and reserves bytes as they arrive, up to limits.held_bytes (256 MiB by default), until the request is answered. An eighth is kept for bodies up to 16 KiB. Where there is no room, the largest body older than 2 s that is still arriving is evicted: its memory and its place are free at once, although its thread is still blocked in a read. If there is none, the new body is refused. Both get `busy` with not_run true. The rest of a refused body is dropped in pieces of 16 KiB, since tiny_http reads it through a buffer of the whole rest. Sockets get a read timeout of 75 s from the listener. It also applies to accept; the probes of the listener connect every 2 s, so accept does not reach it. Idle connections are closed after it.

Ruled out: ending a blocked thread, as tiny_http gives no access to the socket; and a read timeout of limits.header_ms, which would end accept.

--- a/src/api/limiter.rs
+++ b/src/api/limiter.rs
@@ -1,5 +1,6 @@
 //! Limits on concurrent requests, and the count of those that a stop must wait for.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,10 +17,12 @@
 
 #[derive(Debug, Default)]
 struct Counts {
-    /// All requests, also rejected ones, until their response is written.
+    /// All requests, also rejected ones, until their response is written or they lose their place.
     in_progress: usize,
-    /// Requests that are not read in full and arrived before the stop.
-    unread: usize,
+    /// Ids of the requests that are not read in full and arrived before the stop.
+    unread: BTreeSet<u64>,
+    /// Number of requests so far, which is the id of the last one.
+    registered: u64,
     /// Requests passed to the handler and not answered yet.
     admitted: usize,
     draining: bool,
@@ -48,12 +51,15 @@
     Unread,
     Admitted,
     Rejected,
+    /// Its place was given to others.
+    Released,
 }
 
 /// Keeps a request counted until dropped, which is after the response was written.
 #[derive(Debug)]
 pub(super) struct Permit {
     limiter: Arc<RequestLimiter>,
+    id: u64,
     stage: Stage,
 }
 
@@ -77,17 +83,28 @@
     pub(super) fn register(self: &Arc<Self>) -> (Permit, Result<(), Rejection>) {
         let mut counts = self.lock();
         counts.in_progress += 1;
+        counts.registered += 1;
+        let id = counts.registered;
         let (stage, result) = if counts.in_progress > self.in_progress_max {
             (Stage::Rejected, Err(Rejection::Full))
         } else if counts.draining {
             (Stage::Rejected, Err(Rejection::Draining))
         } else {
-            counts.unread += 1;
+            counts.unread.insert(id);
             (Stage::Unread, Ok(()))
         };
         drop(counts);
         let limiter = Arc::clone(self);
-        (Permit { limiter, stage }, result)
+        (Permit { limiter, id, stage }, result)
+    }
+
+    /// Gives the place of a request that is not read in full to others. It will not be admitted.
+    pub(super) fn release(&self, id: u64) {
+        let mut counts = self.lock();
+        if counts.unread.remove(&id) {
+            counts.in_progress -= 1;
+            self.changed.notify_all();
+        }
     }
 
     /// Whether new requests are rejected.
@@ -112,11 +129,11 @@
         let mut counts = self.lock();
         loop {
             let waited = start.elapsed();
-            let is_idle = counts.admitted == 0 && (counts.unread == 0 || waited >= unread_limit.duration());
+            let is_idle = counts.admitted == 0 && (counts.unread.is_empty() || waited >= unread_limit.duration());
             if is_idle || waited >= limit.duration() {
                 return Drained {
                     unanswered: counts.admitted,
-                    unread: counts.unread,
+                    unread: counts.unread.len(),
                 };
             }
             let poll_interval = limit.duration().saturating_sub(waited).min(Duration::from_millis(100));
@@ -129,6 +146,31 @@
 }
 
 impl Permit {
+    /// Id of the request.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Gives the place of a request that will not be admitted to others.
+    pub fn release(&mut self) {
+        let mut counts = self.limiter.lock();
+        let has_place = match self.stage {
+            Stage::Unread => counts.unread.remove(&self.id),
+            Stage::Rejected => true,
+            Stage::Admitted | Stage::Released => false,
+        };
+        if has_place {
+            counts.in_progress -= 1;
+            self.limiter.changed.notify_all();
+        }
+        self.stage = Stage::Released;
+    }
+
+    /// Whether the request was passed to the handler.
+    pub fn is_admitted(&self) -> bool {
+        self.stage == Stage::Admitted
+    }
+
     /// Admits a request that has been read in full.
     pub fn admit(&mut self) -> Result<(), Rejection> {
         let mut counts = self.limiter.lock();
@@ -138,7 +180,9 @@
         if counts.admitted >= self.limiter.admitted_max {
             return Err(Rejection::Full);
         }
-        counts.unread -= 1;
+        if !counts.unread.remove(&self.id) {
+            return Err(Rejection::Full);
+        }
         counts.admitted += 1;
         self.stage = Stage::Admitted;
         Ok(())
@@ -147,13 +191,13 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        if self.stage != Stage::Admitted {
+            self.release();
+            return;
+        }
         let mut counts = self.limiter.lock();
         counts.in_progress -= 1;
-        match self.stage {
-            Stage::Unread => counts.unread -= 1,
-            Stage::Admitted => counts.admitted -= 1,
-            Stage::Rejected => {}
-        }
+        counts.admitted -= 1;
         self.limiter.changed.notify_all();
     }
 }
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -13,7 +13,7 @@
 use tiny_http::Request;
 
 use super::service::Service;
-use super::{Drained, Handler, RequestLimiter};
+use super::{BodyBudget, Drained, Handler, RequestLimiter};
 use crate::config::Limits;
 use crate::metric::Metrics;
 use crate::platform::Address;
@@ -28,6 +28,8 @@
 const PROBE_AND_JOIN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for a write to a client that does not read its response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for a read from a client that sends nothing; also for `accept`, to which the probes connect well before.
+const READ_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum number of failed listeners whose connections are still served.
 const FAILED_LISTENERS_MAX: usize = 4;
 
@@ -81,6 +83,7 @@
                 limits.connections as usize,
                 limits.waiting as usize,
             )),
+            bodies: Arc::new(BodyBudget::new(limits.held_bytes)),
             metrics,
             tracer,
         });
@@ -128,17 +131,18 @@
     }
 }
 
-/// Opens a listener whose connections have `TCP_NODELAY` and a write timeout.
+/// Opens a listener whose connections have `TCP_NODELAY`, a read timeout and a write timeout.
 ///
 /// Accepted sockets inherit these options. Without `TCP_NODELAY` a response above 1 KB on a persistent connection waits
-/// 40 ms for the client's delayed acknowledgement, since `tiny_http` writes header and body separately. A read timeout
-/// cannot be set in this way, because it would also end `accept`, which `tiny_http` treats as a failure of the
-/// listener.
+/// 40 ms for the client's delayed acknowledgement, since `tiny_http` writes header and body separately. The read timeout
+/// also ends `accept`, which `tiny_http` treats as a failure of the listener, so it must be much longer than
+/// [`PROBE_INTERVAL`].
 fn open_listener(address: Address) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(address)?;
     // The standard library offers these setters only on streams.
     let socket = TcpStream::from(OwnedFd::from(listener));
     socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(READ_TIMEOUT))?;
     socket.set_write_timeout(Some(WRITE_TIMEOUT))?;
     Ok(TcpListener::from(OwnedFd::from(socket)))
 }
--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -10,7 +10,7 @@
 use tiny_http::{Request, Response, StatusCode};
 
 use super::limiter::{Permit, Rejection};
-use super::{ApiError, ApiResponse, Code, Handler, RequestLimiter, Route, body};
+use super::{ApiError, ApiResponse, BodyBudget, Code, Handler, HeldBody, RequestLimiter, Route, body};
 use crate::config::Limits;
 use crate::metric::Metrics;
 use crate::trace::{Span, Tracer};
@@ -21,6 +21,7 @@
     pub handler: Arc<dyn Handler>,
     pub limits: Limits,
     pub limiter: Arc<RequestLimiter>,
+    pub bodies: Arc<BodyBudget>,
     pub metrics: Arc<Metrics>,
     pub tracer: Tracer,
 }
@@ -28,7 +29,8 @@
 impl Service {
     /// Processes a request; runs on a thread of its own.
     pub fn serve(&self, mut request: Request) {
-        let (mut permit, registered) = self.limiter.register();
+        let start = Instant::now();
+        let (mut permit, registered) = self.register();
         if body::content_length(&request).is_some_and(|size| size > body::DISCARD_BYTES_MAX) {
             reject_unread(request);
             return;
@@ -48,6 +50,11 @@
             Ok(response) => response,
             Err(e) => ApiResponse::error(&e),
         };
+        if !permit.is_admitted() {
+            // The rest of the body may take long to arrive.
+            permit.release();
+            body::discard(&mut request, &self.limits, start);
+        }
         span.set("status", &response.status);
         self.metrics.count_request(name, response.status);
         if let Err(e) = request.respond(response.into_http(&span.traceparent())) {
@@ -56,9 +63,27 @@
         drop(permit);
     }
 
+    /// Counts a request. If too many are in progress, the oldest body that is still arriving loses its place.
+    fn register(&self) -> (Permit, Result<(), Rejection>) {
+        let (permit, registered) = self.limiter.register();
+        if registered != Err(Rejection::Full) {
+            return (permit, registered);
+        }
+        let Some(evicted) = self.bodies.evict_oldest(Instant::now()) else {
+            return (permit, registered);
+        };
+        self.metrics.count_evicted_body();
+        self.limiter.release(evicted);
+        drop(permit);
+        self.limiter.register()
+    }
+
     fn local_response(&self, route: &Route) -> ApiResponse {
         match route {
-            Route::Metrics => ApiResponse::metrics(self.metrics.text()),
+            Route::Metrics => {
+                self.metrics.set_held_bytes(self.bodies.held());
+                ApiResponse::metrics(self.metrics.text())
+            }
             Route::Status => ApiResponse::json(200, &self.handler.status()),
             Route::Ready if self.limiter.is_draining() => ApiResponse::json(503, &json!({ "ready": false })),
             Route::Ready if !self.handler.is_ready() => ApiResponse::json(503, &json!({ "ready": false })),
@@ -74,13 +99,14 @@
         route: &Route,
         span: &Span,
     ) -> Result<ApiResponse, ApiError> {
-        let body_bytes = if route.has_body() {
-            body::read(request, &self.limits)?
+        let body = if route.has_body() {
+            Some(self.read_body(request, permit)?)
         } else {
-            Vec::new()
+            None
         };
+        let body_bytes = body.as_ref().map_or(&[][..], HeldBody::bytes);
         permit.admit().map_err(|rejection| rejection_error(rejection, route))?;
-        let execute = || self.execute(route, &body_bytes, span);
+        let execute = || self.execute(route, body_bytes, span);
         // A panic in the handler must fail only this request, not the connection. Its caller is told that the result is
         // unknown.
         match catch_unwind(AssertUnwindSafe(execute)) {
@@ -92,6 +118,23 @@
         }
     }
 
+    fn read_body(&self, request: &mut Request, permit: &Permit) -> Result<HeldBody, ApiError> {
+        let lease = self.bodies.open(permit.id(), Instant::now());
+        let make_room = |size| {
+            let Some(evicted) = self.bodies.evict_largest(size, Instant::now()) else {
+                return false;
+            };
+            self.metrics.count_evicted_body();
+            self.limiter.release(evicted);
+            true
+        };
+        let result = body::read(request, &self.limits, lease, make_room);
+        if result.as_ref().is_err_and(|e| e.code == Code::Busy) {
+            self.metrics.count_refused_body();
+        }
+        result
+    }
+
     fn execute(&self, route: &Route, body_bytes: &[u8], span: &Span) -> Result<ApiResponse, ApiError> {
         let handler = &self.handler;
         match route {
--- a/src/config/key.rs
+++ b/src/config/key.rs
@@ -121,6 +121,13 @@
         1024.0,
         16_777_216.0,
     ),
+    number(
+        "limits.held_bytes",
+        "Maximum number of bytes that the bodies of all requests hold together.",
+        "bytes",
+        33_554_432.0,
+        17_179_869_184.0,
+    ),
     number(
         "limits.header_ms",
         "Time within which a request's header and body must arrive.",
--- a/src/metric/metrics.rs
+++ b/src/metric/metrics.rs
@@ -27,6 +27,9 @@
     overrun: Counter,
     rejected: Counter,
     call_duration: Histogram,
+    held_bytes: Gauge,
+    evicted_bodies: Counter,
+    refused_bodies: Counter,
     sessions: Gauge,
     ticket: Gauge,
 }
@@ -51,6 +54,9 @@
             rejected: Counter::default(),
             // Buckets from 0.5 ms to 65 s: the target for added latency is 1 ms, the longest call takes 60 s.
             call_duration: Histogram::new(exponential_buckets(0.0005, 2.0, 18)),
+            held_bytes: Gauge::default(),
+            evicted_bodies: Counter::default(),
+            refused_bodies: Counter::default(),
             sessions: Gauge::default(),
             ticket: Gauge::default(),
         };
@@ -93,6 +99,22 @@
             Unit::Seconds,
             metrics.call_duration.clone(),
         );
+        registry.register_with_unit(
+            "held",
+            "Bytes that request bodies hold now",
+            Unit::Bytes,
+            metrics.held_bytes.clone(),
+        );
+        registry.register(
+            "evicted_bodies",
+            "Slow request bodies that gave way to others",
+            metrics.evicted_bodies.clone(),
+        );
+        registry.register(
+            "refused_bodies",
+            "Request bodies refused for lack of room",
+            metrics.refused_bodies.clone(),
+        );
         registry.register("sessions", "Live instances known here", metrics.sessions.clone());
         registry.register("ticket", "Number of the ticket in force here", metrics.ticket.clone());
         metrics
@@ -114,6 +136,21 @@
         self.call_duration.observe(took.as_secs_f64());
     }
 
+    /// Sets the number of bytes that request bodies hold.
+    pub fn set_held_bytes(&self, bytes: u64) {
+        self.held_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a slow request body that gave way to others.
+    pub fn count_evicted_body(&self) {
+        self.evicted_bodies.inc();
+    }
+
+    /// Counts a request body that was refused for lack of room.
+    pub fn count_refused_body(&self) {
+        self.refused_bodies.inc();
+    }
+
     /// Sets the number of jobs waiting in a pool.
     pub fn set_waiting(&self, pool: &PoolName, jobs: usize) {
         let pool = pool.to_string();
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fake::{job_body, limits, serve, wait_in_flight};
 use serde_json::Value;
@@ -190,6 +190,32 @@
     assert_alive(&server);
 }
 
+/// Guards against clients that stop in the middle of a body and so keep all places for requests.
+#[test]
+fn stalled_bodies_give_way() {
+    let (_fake, server) = serve(limits());
+    let mut stalled = Vec::new();
+    for n in 0..limits().connections {
+        let mut stream = connect(&server);
+        let head = format!("PUT /v1/jobs/stalled.{n} HTTP/1.1\r\nContent-Length: 5000\r\n\r\n{{");
+        stream.write_all(head.as_bytes()).expect("sends");
+        stalled.push(stream);
+    }
+    // Until all places are taken; a body that gave way early may keep this from being seen.
+    for _ in 0..100 {
+        if send(&server, "GET", "/v1/jobs/none", "").0 == 429 {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let start = Instant::now();
+    while send(&server, "PUT", "/v1/jobs/a", job_body()).0 != 200 {
+        assert!(start.elapsed() < HANG_TIMEOUT, "the stalled requests keep their places");
+        thread::sleep(Duration::from_millis(100));
+    }
+    drop(stalled);
+}
+
 /// Guards against a trace that is interrupted at the instance, and against a malformed header that is passed on.
 #[test]
 fn traceparent_is_continued() {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -156,6 +156,7 @@
     Limits {
         connections: 64,
         body_bytes: 64 * 1024,
+        held_bytes: 32 * 1024 * 1024,
         header_ms: 300,
         waiting: 4,
     }
--- a/tests/metric.rs
+++ b/tests/metric.rs
@@ -17,6 +17,9 @@
     metrics.count_request("submit", 429);
     metrics.observe_call(Duration::from_millis(3));
     metrics.set_waiting(&pool, 5);
+    metrics.set_held_bytes(4096);
+    metrics.count_evicted_body();
+    metrics.count_refused_body();
     metrics.set_sessions(9);
     metrics.set_ticket(4711);
     metrics.set_peer_counts(&Counts {
@@ -31,6 +34,9 @@
         "# UNIT yuccaridge_call_duration_seconds seconds",
         "yuccaridge_call_duration_seconds_bucket{le=\"0.004\"} 1",
         "yuccaridge_waiting_jobs{pool=\"night\"} 5",
+        "yuccaridge_held_bytes 4096",
+        "yuccaridge_evicted_bodies_total 1",
+        "yuccaridge_refused_bodies_total 1",
         "yuccaridge_sessions 9",
         "yuccaridge_ticket 4711",
         "yuccaridge_peer_messages_total{direction=\"sent\"} 2",
