--- a/src/api/body_budget.rs
+++ b/src/api/body_budget.rs
@@ -119,13 +119,13 @@
         drop(body);
     }
 
-    /// Evicts the largest body that is still arriving after [`EVICTION_AGE`], if it holds more than `size` bytes. Returns
+    /// Evicts the largest body that is still arriving after 2 s, if it holds more than `size` bytes. Returns
     /// its id.
     pub fn evict_largest(&self, size: u64, now: Instant) -> Option<u64> {
         self.evict(now, |body| (body.size > size).then_some(body.size))
     }
 
-    /// Evicts the oldest body that is still arriving after [`EVICTION_AGE`]. Returns its id.
+    /// Evicts the oldest body that is still arriving after 2 s. Returns its id.
     pub fn evict_oldest(&self, now: Instant) -> Option<u64> {
         self.evict(now, |body| Some(now.saturating_duration_since(body.opened_at)))
     }
