Keep tasks that slow each other down apart

The operators want to know which tasks slow each other down on one endpoint, and to have them apart where there is room. Placement knew nothing of what else runs on an endpoint.

A pure part, src/interference, compares the speed of each kind of tasks (image, or queue without one) beside another kind with its speed without it. Only the measurements beside the other are kept per pair; those without it are the difference to all of the kind, so a pair that is first seen late can be compared at once. Weights halve in ten minutes; 256 pairs and 256 kinds are kept. The dispatcher feeds it from measured progress that can be compared with other endpoints of the step, and from tail latencies of lasting tasks once a second for each endpoint. Harmful pairs are updated once a second, logged when they come and go, counted in yuccaridge_interfering_pairs, and stored in the row of what was learned, which they fill up to 40 KiB only.

Placement changes in order only: endpoints with a harmful kind come last after locality of data, before speed; among racks for a gang, too. A kind that slows itself down is spread. Without harmful pairs the order is as before.

The test of odd estimates names the new field and checks it, too.

Ruled out: statistics without the other per pair, which a pair that is seen late would not have; a lookup of jobs for each run in each placement, for which each endpoint counts its runs by kind instead.

Limits: a speed estimate follows the last few measurements, so part of a lasting effect goes to the endpoint. Measurements count as independent.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -16,6 +16,7 @@
     Counts, Effect, Endpoint, Hold, Job, LeaseSource, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates,
 };
 use crate::graph::{JobRecord, Phase, Submission};
+use crate::interference::Interference;
 use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
 
 /// Decides which task runs where, and when.
@@ -48,6 +49,12 @@
     pub(super) restored_speeds: BTreeMap<(Arc<str>, u64), SpeedEstimate>,
     /// Learned work of tasks, by queue.
     pub(super) work_estimates: WorkEstimates,
+    /// Measured effects between kinds of tasks.
+    pub(super) interference: Interference,
+    /// Pairs of kinds of which the second slows the first down.
+    pub(super) interfering: BTreeSet<(Arc<str>, Arc<str>)>,
+    /// When these pairs are updated again, in milliseconds.
+    pub(super) interfering_due: u64,
     /// Logarithm of the speed of a typical endpoint.
     pub(super) typical_log_speed: f64,
     /// Snapshots of the last round, by pool.
@@ -109,6 +116,9 @@
             lease_bounds: LeaseBounds::default(),
             reservations: BTreeMap::new(),
             work_estimates: WorkEstimates::default(),
+            interference: Interference::default(),
+            interfering: BTreeSet::new(),
+            interfering_due: 0,
             typical_log_speed: 0.0,
             restored_speeds: BTreeMap::new(),
             pool_views: BTreeMap::new(),
@@ -212,6 +222,7 @@
                     job: Arc::clone(id),
                     unit: position,
                     member: index,
+                    kind: Arc::clone(job.kind(position)),
                     room: need[position],
                     ends_at: now,
                 };
@@ -429,6 +440,7 @@
             self.resend(now);
             self.evacuate(now);
             self.update_drain_bounds(now);
+            self.update_interfering(now);
         }
         if now >= self.next_round() && !self.paused {
             self.changed = false;
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -40,6 +40,8 @@
     pub unit: usize,
     /// Index of the member.
     pub member: usize,
+    /// Kind of its task; see [`Job::kind`](super::Job::kind).
+    pub kind: Arc<str>,
     /// Resources that it takes.
     pub room: Resources,
     /// When its unit is expected to end, in milliseconds, as of the last report about it.
@@ -90,6 +92,8 @@
     pub unexpected_runs: usize,
     /// Runs that may exist on it, by task and run number.
     pub runs: BTreeMap<(Arc<str>, u32), PlacedRun>,
+    /// Number of these runs by kind of task.
+    pub(super) kinds: BTreeMap<Arc<str>, u32>,
     /// Resources that these runs take.
     pub used: Resources,
     /// Jobs whose runs have failed here since the last successful run.
@@ -108,6 +112,8 @@
     pub leaves_at: Option<u64>,
     /// Learned speed.
     pub speed_estimate: SpeedEstimate,
+    /// When tail latencies are observed again, in milliseconds.
+    pub(super) tails_due: u64,
 }
 
 impl Endpoint {
@@ -133,6 +139,7 @@
             contacted: false,
             unexpected_runs: 0,
             runs: BTreeMap::new(),
+            kinds: BTreeMap::new(),
             used: Resources::default(),
             failed_jobs: BTreeSet::new(),
             backoff_until: 0,
@@ -142,12 +149,14 @@
             reopen_pause_ms: 0,
             leaves_at: None,
             speed_estimate: SpeedEstimate::default(),
+            tails_due: 0,
         }
     }
 
     /// Adds a run.
     pub fn add_run(&mut self, task: Arc<str>, run: u32, placed_run: PlacedRun) {
         self.used = self.used.plus(&placed_run.room);
+        *self.kinds.entry(Arc::clone(&placed_run.kind)).or_default() += 1;
         self.runs.insert((task, run), placed_run);
     }
 
@@ -155,6 +164,12 @@
     pub fn remove_run(&mut self, task: &Arc<str>, run: u32) {
         if let Some(placed_run) = self.runs.remove(&(Arc::clone(task), run)) {
             self.used = self.used.minus(&placed_run.room);
+            if let Some(runs) = self.kinds.get_mut(&placed_run.kind) {
+                *runs -= 1;
+                if *runs == 0 {
+                    self.kinds.remove(&placed_run.kind);
+                }
+            }
         }
     }
 
--- a/src/dispatch/incarnation.rs
+++ b/src/dispatch/incarnation.rs
@@ -33,6 +33,7 @@
         fresh.fenced_at = now;
         fresh.listed = old.listed;
         fresh.used = old.used;
+        fresh.kinds = old.kinds;
         fresh.runs = old.runs;
         let runs = fresh.runs.clone();
         self.endpoints.insert(Arc::clone(name), fresh);
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -27,6 +27,8 @@
     pub(super) index: UnitIndex,
     /// Phase that callers see.
     pub phase: Phase,
+    /// Kind of the tasks of each step.
+    kinds: Vec<Arc<str>>,
     /// Speed measurements of each step.
     pub step_speeds: Vec<StepSpeeds>,
     /// Advice tickets by occurrence and step, if its queue needs them.
@@ -73,7 +75,9 @@
             let name = |index| task_name(&id, occurrence, step, index);
             unit.restore(saved, name, now);
         }
+        let kinds = submission.graph.steps.iter().map(|step| kind(step, &submission.queue));
         Self {
+            kinds: kinds.collect(),
             team: Arc::from(&*submission.team),
             payload: Arc::from(&*submission.graph.payload),
             id,
@@ -104,6 +108,11 @@
         &self.submission.graph.steps[self.units[unit].step]
     }
 
+    /// Kind of the tasks of a unit: their image or, without one, the queue. Tasks of a kind behave alike.
+    pub fn kind(&self, unit: usize) -> &Arc<str> {
+        &self.kinds[self.units[unit].step]
+    }
+
     /// Whether it may preempt others.
     pub fn is_urgent(&self) -> bool {
         self.queue.as_ref().is_some_and(|queue| queue.priority == 0)
@@ -178,6 +187,10 @@
     }
 }
 
+fn kind(step: &Step, queue: &str) -> Arc<str> {
+    Arc::from(if step.image.is_empty() { queue } else { &*step.image })
+}
+
 fn task_name(job: &Arc<str>, occurrence: u32, step: u32, index: u32) -> Arc<str> {
     let name = TaskName {
         job: Arc::clone(job),
--- a/src/dispatch/learned.rs
+++ b/src/dispatch/learned.rs
@@ -1,7 +1,11 @@
 //! Stored form of the speeds and work estimates that a leader has learned, for its successor.
 
+use std::sync::Arc;
+
 use prost::Message;
 
+use crate::interference::{KindStats, Moments};
+
 /// Learned speed of an endpoint.
 #[derive(Clone, PartialEq, Message)]
 pub struct LearnedSpeed {
@@ -57,6 +61,80 @@
     }
 }
 
+/// Learned speeds of a kind of tasks beside another; see [`Moments`].
+#[derive(Clone, PartialEq, Message)]
+pub struct LearnedMoments {
+    /// Name of the other kind.
+    #[prost(string, tag = "1")]
+    pub beside: String,
+    /// Decayed number of measurements.
+    #[prost(double, tag = "2")]
+    pub weight: f64,
+    /// Mean of the logarithms of the speed.
+    #[prost(double, tag = "3")]
+    pub mean: f64,
+    /// Sum of the squared deviations from the mean.
+    #[prost(double, tag = "4")]
+    pub squares: f64,
+}
+
+impl LearnedMoments {
+    fn new(beside: &str, moments: &Moments) -> Self {
+        Self {
+            beside: beside.to_owned(),
+            weight: moments.weight,
+            mean: moments.mean,
+            squares: moments.squares,
+        }
+    }
+
+    fn moments(&self) -> Moments {
+        Moments {
+            weight: self.weight,
+            mean: self.mean,
+            squares: self.squares,
+        }
+    }
+}
+
+/// Learned speeds of a kind of tasks.
+#[derive(Clone, PartialEq, Message)]
+pub struct LearnedKind {
+    /// Name of the kind.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    /// All measurements.
+    #[prost(message, required, tag = "2")]
+    pub total: LearnedMoments,
+    /// Those beside each other kind.
+    #[prost(message, repeated, tag = "3")]
+    pub beside: Vec<LearnedMoments>,
+}
+
+impl LearnedKind {
+    pub(super) fn new(kind: &str, stats: &KindStats) -> Self {
+        let beside = stats.beside.iter();
+        Self {
+            kind: kind.to_owned(),
+            total: LearnedMoments::new("", &stats.total),
+            beside: beside
+                .map(|(name, moments)| LearnedMoments::new(name, moments))
+                .collect(),
+        }
+    }
+
+    /// Measurements of the kind.
+    pub(super) fn stats(&self) -> KindStats {
+        let beside = self.beside.iter();
+        KindStats {
+            total: self.total.moments(),
+            beside: beside
+                .map(|found| (Arc::from(&*found.beside), found.moments()))
+                .collect(),
+        }
+    }
+}
+
 /// Everything that a leader has learned. Losing it makes some jobs late and does no other harm.
 #[derive(Clone, PartialEq, Message)]
 pub struct Learned {
@@ -66,4 +144,7 @@
     /// Work of tasks by queue.
     #[prost(message, repeated, tag = "2")]
     pub works: Vec<LearnedWork>,
+    /// Effects between kinds of tasks.
+    #[prost(message, repeated, tag = "3")]
+    pub kinds: Vec<LearnedKind>,
 }
--- a/src/dispatch/persist.rs
+++ b/src/dispatch/persist.rs
@@ -6,7 +6,8 @@
 use prost::Message;
 
 use super::{
-    Dispatcher, Effect, JobWrite, Learned, LearnedSpeed, LearnedWork, MemberState, Snapshot, SpeedEstimate, WorkStats,
+    Dispatcher, Effect, JobWrite, Learned, LearnedKind, LearnedSpeed, LearnedWork, MemberState, Snapshot,
+    SpeedEstimate, WorkStats,
 };
 use crate::graph::Phase;
 
@@ -20,6 +21,12 @@
 /// contain 1 MB in Base64, and the two rows of the last job may have 64 KiB each.
 const JOB_BYTES_PER_COMMIT: usize = 256 * 1024;
 
+/// Size that what has been learned may reach with the kinds of tasks, in bytes. A row may have 64 KiB in Base64.
+const LEARNED_BYTES_MAX: usize = 40 * 1024;
+
+/// Bound on the tag and length of an entry, in bytes.
+const ENTRY_BYTES: usize = 8;
+
 impl Dispatcher {
     /// Next changes to store, up to the limit of a transaction; `None` if there are none.
     pub fn snapshot(&mut self) -> Option<Snapshot> {
@@ -170,6 +177,18 @@
                 errors: work.errors,
             });
         }
+        let mut room = LEARNED_BYTES_MAX.saturating_sub(learned.encoded_len());
+        let mut kinds: Vec<_> = self.interference.kinds().iter().collect();
+        kinds.sort_by(|(_, left), (_, right)| right.total.weight.total_cmp(&left.total.weight));
+        for (kind, stats) in kinds {
+            let kind = LearnedKind::new(kind, stats);
+            let size = kind.encoded_len() + ENTRY_BYTES;
+            if size > room {
+                continue;
+            }
+            room -= size;
+            learned.kinds.push(kind);
+        }
         learned
     }
 
@@ -192,6 +211,10 @@
             };
             self.work_estimates.restore(&work.queue, sums);
         }
+        for kind in &learned.kinds {
+            self.interference
+                .restore(&Arc::from(&*kind.kind), kind.stats(), self.took_over_at);
+        }
     }
 
     /// Number of jobs of each queue that have not started.
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -10,6 +10,7 @@
 
 use super::EndpointView;
 use super::claim::Claim;
+use super::crowding::Crowding;
 use super::permit::Permit;
 use super::pool_view::PoolView;
 use crate::port::Resources;
@@ -37,6 +38,8 @@
     pub avoid: &'a BTreeSet<Arc<str>>,
     /// What its tasks need from the advice service.
     pub permit: Permit<'a>,
+    /// Endpoints that are taken last, since tasks run there that slow these down or are slowed down by them.
+    pub crowding: Crowding,
     /// Prefer fast endpoints for a single task.
     pub urgent: bool,
     /// Endpoints below this speed are excluded.
@@ -62,6 +65,7 @@
             placed_per_endpoint: BTreeMap::new(),
             avoid: &AVOID_NONE,
             permit: Permit::Unrestricted,
+            crowding: Crowding::default(),
             urgent: false,
             min_speed,
             ends_at: 0,
@@ -162,9 +166,9 @@
     }
     if !demand.adjacent {
         let all: Vec<usize> = (0..views.len()).collect();
-        return fill_group(views, demand, &all, slow_below).map(|(_, chosen)| chosen);
+        return fill_group(views, demand, &all, slow_below).map(|(_, _, chosen)| chosen);
     }
-    let mut best: Option<((bool, u64), Vec<usize>)> = None;
+    let mut best: Option<((bool, bool, u64), Vec<usize>)> = None;
     for (index, rack) in views.racks().iter().enumerate() {
         if !views.may_fit_rack(
             index,
@@ -174,7 +178,7 @@
         ) {
             continue;
         }
-        let Some((slow, chosen)) = fill_group(views, demand, &rack.members, slow_below) else {
+        let Some((crowded, slow, chosen)) = fill_group(views, demand, &rack.members, slow_below) else {
             continue;
         };
         let free_accelerators = rack
@@ -182,7 +186,7 @@
             .iter()
             .map(|index| views[*index].free.accelerators)
             .fold(0, u64::saturating_add);
-        let rank = (slow, free_accelerators);
+        let rank = (crowded, slow, free_accelerators);
         if best.as_ref().is_some_and(|(found, _)| *found <= rank) {
             continue;
         }
@@ -197,7 +201,7 @@
         if demand.allowed_tasks_now(view) == 0 {
             continue;
         }
-        let rank = single_rank(view, &view.free, demand, slow_below);
+        let rank = single_rank(view, demand, demand.crowding.endpoints.contains(&index), slow_below);
         if best.as_ref().is_some_and(|(found, _)| *found <= rank) {
             continue;
         }
@@ -207,12 +211,13 @@
 }
 
 /// Order in which endpoints are taken for a single task.
-type SingleRank = (bool, bool, u64, u64);
+type SingleRank = (bool, bool, bool, u64, u64);
 
-fn single_rank(view: &EndpointView, free: &Resources, demand: &Demand<'_>, slow_below: f64) -> SingleRank {
+fn single_rank(view: &EndpointView, demand: &Demand<'_>, crowded: bool, slow_below: f64) -> SingleRank {
     let far = !demand.rack.is_empty() && !view.is_in_rack(demand.rack);
     let slow = view.speed < slow_below;
-    (far, slow == demand.urgent, free.accelerators, free.memory_mb)
+    let free = &view.free;
+    (far, crowded, slow == demand.urgent, free.accelerators, free.memory_mb)
 }
 
 /// Chooses endpoints for units with the same demand, as many as fit one after another. More than one unit must be single
@@ -243,7 +248,8 @@
     let mut candidates: BinaryHeap<Reverse<(SingleRank, usize)>> = BinaryHeap::new();
     for (index, view) in views.iter().enumerate() {
         if demand.allowed_tasks_now(view) > 0 {
-            candidates.push(Reverse((single_rank(view, &view.free, demand, slow_below), index)));
+            let crowded = demand.crowding.endpoints.contains(&index);
+            candidates.push(Reverse((single_rank(view, demand, crowded, slow_below), index)));
         }
     }
     let mut booked: BTreeMap<usize, (EndpointView, u32)> = BTreeMap::new();
@@ -257,46 +263,51 @@
         *tasks += 1;
         let limit = demand.limit_on(view);
         if demand.allowed_tasks_now(view) > 0 && *tasks < limit {
-            candidates.push(Reverse((single_rank(view, &view.free, demand, slow_below), index)));
+            let crowded = demand.crowding.own_kind || demand.crowding.endpoints.contains(&index);
+            candidates.push(Reverse((single_rank(view, demand, crowded, slow_below), index)));
         }
     }
     chosen
 }
 
-/// Fills the endpoints of a group, fast ones first and then those with the fewest free accelerators. Returns whether a
-/// slow one was needed, and the endpoint of each member.
+/// Fills the endpoints of a group: those that are not crowded first, then fast ones, then those with the fewest free
+/// accelerators. Returns whether a crowded one was needed, whether a slow one was, and the endpoint of each member.
 fn fill_group(
     views: &[EndpointView],
     demand: &Demand<'_>,
     group: &[usize],
     slow_below: f64,
-) -> Option<(bool, Vec<usize>)> {
+) -> Option<(bool, bool, Vec<usize>)> {
     let mut usable = Vec::new();
     for index in group {
         let allowed = demand.allowed_tasks_now(&views[*index]);
         if allowed == 0 {
             continue;
         }
-        usable.push((
-            views[*index].speed < slow_below,
-            views[*index].free.accelerators,
-            *index,
-            allowed,
-        ));
+        let slow = views[*index].speed < slow_below;
+        let free = views[*index].free.accelerators;
+        let crowded = demand.crowding.endpoints.contains(index);
+        if demand.crowding.own_kind && !crowded {
+            usable.push((false, slow, free, *index, 1));
+            usable.push((true, slow, free, *index, allowed - 1));
+        } else {
+            usable.push((crowded, slow, free, *index, allowed));
+        }
     }
     usable.sort_unstable();
     let mut chosen = Vec::new();
-    let mut any_slow = false;
-    for (slow, _, index, allowed) in usable {
+    let (mut any_crowded, mut any_slow) = (false, false);
+    for (crowded, slow, _, index, allowed) in usable {
         for _ in 0..allowed {
             if chosen.len() == demand.count as usize {
                 break;
             }
+            any_crowded |= crowded;
             any_slow |= slow;
             chosen.push(index);
         }
     }
-    (chosen.len() == demand.count as usize).then_some((any_slow, chosen))
+    (chosen.len() == demand.count as usize).then_some((any_crowded, any_slow, chosen))
 }
 
 /// Endpoints of a claim by index, once each has room for the tasks that it is to take; the claim must not be booked in
--- a/src/dispatch/report.rs
+++ b/src/dispatch/report.rs
@@ -144,7 +144,7 @@
                     member.measured_from = Some((found.percent, now));
                     let duration = (now - since) as f64 * 100.0 / progress;
                     let log_ratio = (estimate as f64 / duration).ln();
-                    measured.push((Arc::clone(&placed_run.job), unit.step, log_ratio));
+                    measured.push((placed_run.clone(), unit.step, log_ratio));
                 }
             }
             let stall_checked = !lasting && is_active && member.state == MemberState::Running;
@@ -184,9 +184,7 @@
             self.record_failure(name, &placed_run.job, now);
             self.stop_unit(&placed_run.job, placed_run.unit, "no progress", now);
         }
-        for (job, step, log_ratio) in measured {
-            self.learn_speed(name, &job, step, log_ratio);
-        }
+        self.learn_from_report(name, &running, measured, now);
     }
 
     /// Stops the unexpected runs that an endpoint has reported.
@@ -206,9 +204,10 @@
         }
     }
 
-    /// Updates the speed of an endpoint, and the work of the queue, from the measured progress of a run.
-    fn learn_speed(&mut self, name: &Arc<str>, id: &Arc<str>, step: usize, log_ratio: f64) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+    /// Updates the speed of an endpoint, and the work of the queue, from the measured progress of a run. Returns the
+    /// logarithm of the ratio of the measured speed to the one expected of the endpoint, if others can be compared.
+    pub(super) fn learn_speed(&mut self, name: &Arc<str>, id: &Arc<str>, step: usize, log_ratio: f64) -> Option<f64> {
+        let job = self.jobs.get_mut(id)?;
         let estimate = (job.submission.graph.steps[step].estimate_ms as f64).ln();
         let first_of_step = job.step_speeds[step].is_empty();
         let endpoints = &mut self.endpoints;
@@ -223,6 +222,8 @@
             let work = estimate - log_ratio + log_speed_of(name) - typical_log_speed;
             self.work_estimates.learn(&job.submission.queue, work, estimate);
         }
+        let expected = log_speed_of(name);
+        let compared = job.step_speeds[step].compared(name, log_ratio, log_speed_of);
         for (endpoint, measured_log_speed, weight) in job.step_speeds[step].add(name, log_ratio, log_speed_of) {
             if let Some(endpoint) = endpoints.get_mut(&endpoint) {
                 endpoint
@@ -230,6 +231,7 @@
                     .learn(measured_log_speed, weight, typical_log_speed);
             }
         }
+        Some(compared? - expected)
     }
 
     /// Processes the end of a run.
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -406,6 +406,7 @@
             placed_per_endpoint,
             avoid: &unit.avoid,
             permit,
+            crowding: self.crowding(views, job.kind(position)),
             urgent: rank.is_urgent(),
             min_speed: 0.0,
             ends_at: now.saturating_add(job.expected_ms(step, &self.work_estimates) as u64),
@@ -437,6 +438,7 @@
             .map(|index| job.task(position, index as u32))
             .collect();
         let payload = Arc::clone(&job.payload);
+        let kind = Arc::clone(job.kind(position));
         let expected_ms = job.expected_ms(job.step(position), &self.work_estimates) as u64;
         let ends_at = now.saturating_add(expected_ms);
         job.set_state(position, UnitState::Active);
@@ -455,6 +457,7 @@
                 job: Arc::clone(id),
                 unit: position,
                 member: index,
+                kind: Arc::clone(&kind),
                 room: need,
                 ends_at,
             };
--- a/src/dispatch/speed.rs
+++ b/src/dispatch/speed.rs
@@ -101,6 +101,15 @@
         (sum / (self.measurements.len() as f64 + 1.0)).exp()
     }
 
+    /// Logarithm of the speed that a measurement gives for an endpoint; `None` if no other endpoint of the step has been
+    /// measured, so that the error of the caller's estimate is not known.
+    pub fn compared<F>(&self, endpoint: &Arc<str>, log_ratio: f64, log_speed_of: F) -> Option<f64>
+    where
+        F: Fn(&Arc<str>) -> f64,
+    {
+        Some(log_ratio - self.estimate_error(endpoint, &log_speed_of)?)
+    }
+
     /// Adds a measurement, where `log_ratio` is the logarithm of estimate over duration. Returns the endpoints whose
     /// speed estimates change, each with its measured `log_speed` and weight.
     pub fn add<F>(&mut self, endpoint: &Arc<str>, log_ratio: f64, log_speed_of: F) -> Vec<(Arc<str>, f64, f64)>
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -323,6 +323,9 @@
     metrics
         .endpoints_open
         .set(dispatcher.open_endpoints(now).cast_signed() as i64);
+    metrics
+        .interfering_pairs
+        .set(dispatcher.interfering_pairs().cast_signed() as i64);
     metrics
         .orders_in_doubt
         .set(dispatcher.orders_in_doubt().cast_signed() as i64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod graph;
 pub mod instance;
 pub mod intake;
+pub mod interference;
 pub mod job;
 pub mod lead;
 pub mod logging;
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -58,6 +58,8 @@
     pub jobs_waiting: Gauge,
     /// Jobs that are running.
     pub jobs_running: Gauge,
+    /// Pairs of kinds of tasks of which one slows the other down.
+    pub interfering_pairs: Gauge,
     /// Endpoints that accept new work.
     pub endpoints_open: Gauge,
     /// Start and stop orders whose result is unknown.
@@ -94,6 +96,7 @@
             jobs_waiting: Gauge::default(),
             jobs_running: Gauge::default(),
             endpoints_open: Gauge::default(),
+            interfering_pairs: Gauge::default(),
             orders_in_doubt: Gauge::default(),
             jobs_unstored: Gauge::default(),
             lead_confirmed_age_ms: Gauge::default(),
@@ -149,18 +152,8 @@
             "Claims for urgent units that were not met in time",
             metrics.claims_dropped.clone(),
         );
-        registry.register("jobs_waiting", "Jobs that have not begun", metrics.jobs_waiting.clone());
-        registry.register("jobs_running", "Jobs that have begun", metrics.jobs_running.clone());
-        registry.register(
-            "endpoints_open",
-            "Endpoints that take work",
-            metrics.endpoints_open.clone(),
-        );
-        registry.register(
-            "orders_in_doubt",
-            "Orders without an answer",
-            metrics.orders_in_doubt.clone(),
-        );
+        metrics.register_work();
+        let registry = &mut metrics.registry;
         registry.register(
             "fence",
             "Fencing token of the lead, 0 without it",
@@ -186,6 +179,28 @@
 }
 
 impl InstanceMetrics {
+    /// Registers the gauges of what the leader has under way.
+    fn register_work(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("jobs_waiting", "Jobs that have not begun", self.jobs_waiting.clone());
+        registry.register("jobs_running", "Jobs that have begun", self.jobs_running.clone());
+        registry.register(
+            "interfering_pairs",
+            "Pairs of kinds of tasks that are kept apart",
+            self.interfering_pairs.clone(),
+        );
+        registry.register(
+            "endpoints_open",
+            "Endpoints that take work",
+            self.endpoints_open.clone(),
+        );
+        registry.register(
+            "orders_in_doubt",
+            "Orders without an answer",
+            self.orders_in_doubt.clone(),
+        );
+    }
+
     /// Counts an answer to a caller and records the time that it took.
     pub fn record_answer(&self, call: &'static str, answer: String, time: Duration) {
         self.answers.get_or_create(&AnswerLabel { call, answer }).inc();
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -13,6 +13,7 @@
 mod guarantee;
 mod idle;
 mod incarnation;
+mod interference;
 mod large_jobs;
 mod lasting;
 mod lease_bounds;
--- a/tests/dispatch/odd_estimates.rs
+++ b/tests/dispatch/odd_estimates.rs
@@ -1,6 +1,6 @@
 //! Stored estimates of a former leader that no measurement gives.
 
-use yuccaridge::dispatch::{Learned, LearnedSpeed, LearnedWork};
+use yuccaridge::dispatch::{Learned, LearnedKind, LearnedMoments, LearnedSpeed, LearnedWork};
 
 use crate::world::{BORN, World, entry, name};
 
@@ -23,6 +23,20 @@
     }
 }
 
+fn kind(name: &str, mean: f64, weight: f64) -> LearnedKind {
+    let moments = |beside: &str| LearnedMoments {
+        beside: beside.to_owned(),
+        weight,
+        mean,
+        squares: 0.0,
+    };
+    LearnedKind {
+        kind: name.to_owned(),
+        total: moments(""),
+        beside: vec![moments("other")],
+    }
+}
+
 /// Guards against estimates that are not numbers, which each leader would hand on to its successor.
 #[test]
 fn estimates_that_are_not_plausible_are_not_restored() {
@@ -39,6 +53,12 @@
             work("normal", 1.0, f64::INFINITY),
             work("batch", 7.0, 1.0),
         ],
+        kinds: vec![
+            kind("a", f64::NAN, 2.0),
+            kind("b", 0.1, f64::INFINITY),
+            kind("c", 0.1, -1.0),
+            kind("d", 0.1, 2.0),
+        ],
     };
 
     world.dispatcher.restore(&learned);
@@ -52,4 +72,5 @@
     let restored = world.dispatcher.learned();
     assert_eq!(restored.speeds, [speed("e3", 0.5, 2.0)]);
     assert_eq!(restored.works, [work("batch", 7.0, 1.0)]);
+    assert_eq!(restored.kinds, [kind("d", 0.1, 2.0)]);
 }
