Stop what costs callers least for an urgent unit

An urgent unit stopped work although a free endpoint that is slow would have done.

Change: src/victims computes what a stop costs: lost work and the wait for the next start, which is learned by queue for gangs, more with each stop, and three tenths of it if the job still ends in time. An urgent unit takes a slow endpoint on which it ends in time before it claims.

Ruled out: a ban on stopping gangs, which a guarantee may need.

Tests of dispatch (129) and victims (5) pass.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -17,6 +17,7 @@
 };
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
+use crate::victims::RestartWaits;
 
 /// Decides which task runs where, and when.
 #[derive(Debug)]
@@ -46,6 +47,8 @@
     pub(super) lease_bounds: LeaseBounds,
     /// Speeds learned by a former leader for endpoints that have not been listed yet, by name and incarnation.
     pub(super) restored_speeds: BTreeMap<(Arc<str>, u64), SpeedEstimate>,
+    /// How long gangs that were stopped wait for their next start.
+    pub(super) restart_waits: RestartWaits,
     /// Learned work of tasks, by queue.
     pub(super) work_estimates: WorkEstimates,
     /// Logarithm of the speed of a typical endpoint.
@@ -108,6 +111,7 @@
             probe_slots: ProbeSlots::default(),
             lease_bounds: LeaseBounds::default(),
             reservations: BTreeMap::new(),
+            restart_waits: RestartWaits::default(),
             work_estimates: WorkEstimates::default(),
             typical_log_speed: 0.0,
             restored_speeds: BTreeMap::new(),
@@ -160,6 +164,7 @@
                 job.queue = queue_of(&config, &job.submission);
             }
         }
+        self.restart_waits.retain(|queue| config.queues.contains_key(queue));
         self.config = config;
         self.changed = true;
     }
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -3,14 +3,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::Dispatcher;
 use super::claim::Claim;
 use super::job::core_equivalents;
 use super::place::Demand;
 use super::pool_view::PoolView;
+use super::rank::Rank;
+use super::round::remaining_ms;
 use super::round_cache::RoundCache;
 use super::victim_table::{Plan, Victim, VictimTable};
+use super::{Dispatcher, Job};
 use crate::port::Resources;
+use crate::victims::Stake;
+
+/// Why a unit was stopped for an urgent one.
+pub(super) const PREEMPTED: &str = "preempted";
 
 /// A claim that may be made.
 #[derive(Debug)]
@@ -115,7 +121,7 @@
             let victim = table.victim(*index);
             let (job, unit) = &victim.unit;
             log::info!(job:% = id, victim:% = job, unit, cost = victim.cost; "unit preempted by an urgent job");
-            self.stop_unit(job, *unit, "preempted", now);
+            self.stop_unit(job, *unit, PREEMPTED, now);
         }
         table.claim(views, &found.plan);
     }
@@ -142,6 +148,14 @@
         }
     }
 
+    /// Time that a unit would wait for its next start if it were stopped, in milliseconds.
+    fn restart_wait_ms(&self, job: &Job, position: usize) -> u64 {
+        if job.units[position].size == 1 {
+            return 0;
+        }
+        self.restart_waits.expected_ms(&job.submission.queue)
+    }
+
     /// Units that may be stopped for an urgent one, among them urgent ones beyond the guarantees of their teams if the jobs
     /// within these are given.
     fn victims(&self, views: &PoolView, guaranteed: Option<&BTreeSet<Arc<str>>>, now: u64) -> Vec<Victim> {
@@ -169,9 +183,18 @@
                 } else {
                     now.saturating_sub(unit.placed_at)
                 };
+                let wait_ms = self.restart_wait_ms(job, position);
+                let again_ms = at_risk_ms + wait_ms + remaining_ms(job, position, &self.work_estimates, now);
+                let stake = Stake {
+                    cores: core_equivalents(&need) * unit.members.len() as f64,
+                    lost_ms: at_risk_ms,
+                    wait_ms,
+                    stops: unit.stops(),
+                    in_time: again_ms <= Rank::of(job, &self.work_estimates, now).left_ms(now),
+                };
                 victims.push(Victim {
                     unit: (Arc::clone(id), position),
-                    cost: at_risk_ms as f64 / 1_000.0 * core_equivalents(&need) * unit.members.len() as f64,
+                    cost: stake.loss(),
                     rooms,
                 });
             }
--- a/src/dispatch/rank.rs
+++ b/src/dispatch/rank.rs
@@ -44,6 +44,11 @@
         Self { class, due }
     }
 
+    /// Time until the job should be done, in milliseconds.
+    pub fn left_ms(&self, now: u64) -> u64 {
+        self.due.saturating_sub(now)
+    }
+
     /// Whether the job may preempt others.
     pub fn is_urgent(&self) -> bool {
         self.class < 2
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -13,12 +13,14 @@
 use super::permit::Permit;
 use super::place::{self, AVOID_NONE, Demand};
 use super::pool_view::PoolView;
+use super::preempt::PREEMPTED;
 use super::rank::Rank;
 use super::record_room::RecordRoom;
 use super::round_cache::RoundCache;
 use super::speed;
 use super::{Dispatcher, Endpoint, EndpointView, Job, Member, MemberState, Start, UnitState, WorkEstimates};
 use crate::graph::Phase;
+use crate::victims;
 
 /// Number of units that may be stopped for each millisecond until they are looked at again. Bounds the share of time
 /// that the search takes on a large fleet; a fleet of some hundred endpoints is searched in each round.
@@ -342,10 +344,17 @@
         rank: &Rank,
         now: u64,
     ) {
+        let mut demand = self.demand(views, id, position, rank, now);
+        demand.min_speed = self.least_speed(id, rank, now);
+        if demand.min_speed < views.slow_below()
+            && let Some(chosen) = place::place(views, &demand)
+        {
+            self.start_unit(id, position, views, &chosen, now);
+            return;
+        }
         if now < self.claims_due {
             return;
         }
-        let mut demand = self.demand(views, id, position, rank, now);
         demand.min_speed = views.slow_below();
         let guarantee_due = self.guarantee_is_due(id, now)
             && cache
@@ -375,6 +384,14 @@
         }
     }
 
+    /// Least speed of an endpoint on which a job that starts now would end in time.
+    fn least_speed(&self, id: &Arc<str>, rank: &Rank, now: u64) -> f64 {
+        let job = &self.jobs[id];
+        let steps = &job.submission.graph;
+        let expected_ms = steps.critical_path(|step| job.expected_ms(step, &self.work_estimates));
+        victims::least_speed(expected_ms, self.typical_log_speed.exp(), rank.left_ms(now))
+    }
+
     /// Requirements of a unit on its endpoints.
     pub(super) fn demand(&self, views: &PoolView, id: &Arc<str>, position: usize, rank: &Rank, now: u64) -> Demand<'_> {
         let job = &self.jobs[id];
@@ -441,6 +458,10 @@
         let ends_at = now.saturating_add(expected_ms);
         job.set_state(position, UnitState::Active);
         let unit = &mut job.units[position];
+        if unit.size > 1 && unit.given_up_why == PREEMPTED {
+            let wait_ms = now.saturating_sub(unit.given_up_at);
+            self.restart_waits.add(&job.submission.queue, wait_ms);
+        }
         let tickets = job.tickets.get(&(unit.occurrence, unit.step));
         unit.next_run();
         unit.placed_at = now;
