--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::interference::Interference;
 use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
+use crate::victims::RestartWaits;
 
 /// Decides which task runs where, and when.
 #[derive(Debug)]
@@ -47,6 +48,8 @@
     pub(super) lease_bounds: LeaseBounds,
     /// Speeds learned by a former leader for endpoints that have not been listed yet, by name and incarnation.
     pub(super) restored_speeds: BTreeMap<(Arc<str>, u64), SpeedEstimate>,
+    /// How long gangs that were stopped wait for their next start.
+    pub(super) restart_waits: RestartWaits,
     /// Learned work of tasks, by queue.
     pub(super) work_estimates: WorkEstimates,
     /// Measured effects between kinds of tasks.
@@ -115,6 +118,7 @@
             probe_slots: ProbeSlots::default(),
             lease_bounds: LeaseBounds::default(),
             reservations: BTreeMap::new(),
+            restart_waits: RestartWaits::default(),
             work_estimates: WorkEstimates::default(),
             interference: Interference::default(),
             interfering: BTreeSet::new(),
@@ -170,6 +174,7 @@
                 job.queue = queue_of(&config, &job.submission);
             }
         }
+        self.restart_waits.retain(|queue| config.queues.contains_key(queue));
         self.config = config;
         self.changed = true;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod ticket;
 pub mod time;
 pub mod trace;
+pub mod victims;
