Count each run once as evidence that tasks slow each other down

Cause: successive measurements of one run, or tails of one task, depend on each other and passed for independent evidence.

Change: the first speed of a run that can be compared with others of its step counts, and tails once in ten seconds.

--- a/src/dispatch/interfering.rs
+++ b/src/dispatch/interfering.rs
@@ -15,8 +15,9 @@
 /// Time between two updates of the pairs that are kept apart, in milliseconds.
 const UPDATE_INTERVAL_MS: u64 = 1_000;
 
-/// Least time between two observations of the tail latencies on an endpoint, in milliseconds.
-const TAIL_INTERVAL_MS: u64 = 1_000;
+/// Least time between two observations of the tail latencies on an endpoint, in milliseconds; they change within seconds, and
+/// closer ones would count the same load several times.
+const TAIL_INTERVAL_MS: u64 = 10_000;
 
 impl Dispatcher {
     /// Learns from the speeds that a report gives, as run, step and logarithm of estimate over duration, and from its tail
@@ -30,7 +31,8 @@
     ) {
         let mut measured = self.tails(name, running, now);
         for (placed_run, step, log_ratio) in speeds {
-            if let Some(log_speed) = self.learn_speed(name, &placed_run.job, step, log_ratio) {
+            let compared = self.learn_speed(name, &placed_run.job, step, log_ratio);
+            if let Some(log_speed) = compared.filter(|_| self.is_first_comparison(&placed_run)) {
                 measured.push((placed_run.kind, log_speed));
             }
         }
@@ -45,6 +47,15 @@
         }
     }
 
+    /// Whether the speed of a run has not been compared before. Later measurements of a run depend on the first, and would
+    /// count as evidence several times.
+    fn is_first_comparison(&mut self, placed_run: &PlacedRun) -> bool {
+        let job = self.jobs.get_mut(&placed_run.job);
+        let unit = job.and_then(|job| job.units.get_mut(placed_run.unit));
+        let member = unit.and_then(|unit| unit.members.get_mut(placed_run.member));
+        member.is_some_and(|member| !std::mem::replace(&mut member.compared, true))
+    }
+
     /// Kinds of the lasting tasks with a bound on their tail latency, and the logarithms of the inverse latencies.
     fn tails(&mut self, name: &Arc<str>, running: &Running<'_>, now: u64) -> Vec<(Arc<str>, f64)> {
         let mut tails = Vec::new();
--- a/src/dispatch/member.rs
+++ b/src/dispatch/member.rs
@@ -64,6 +64,8 @@
     pub progressed_at: u64,
     /// Progress and time from which the next speed measurement counts.
     pub measured_from: Option<(f64, u64)>,
+    /// Whether its speed has been compared with that of other runs of its step.
+    pub compared: bool,
 }
 
 impl Member {
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -492,6 +492,7 @@
                 percent: 0.0,
                 progressed_at: now,
                 measured_from: None,
+                compared: false,
             });
             let ticket = tickets.and_then(|tickets| tickets.valid_ticket(&view.name, endpoint.entry.born, now));
             self.starts.push(Start {
--- a/src/dispatch/unit.rs
+++ b/src/dispatch/unit.rs
@@ -102,6 +102,7 @@
                 percent: 0.0,
                 progressed_at: now,
                 measured_from: None,
+                compared: false,
             });
         }
         self.state = if record.done {
