Send nothing to failure domains that are closed

Change: the requests are followed together with the configuration. The leader places, claims, reserves and asks for advice outside closed domains only, and asks once more just before it sends a start, so that stored and repeated starts are held back, too. Their units are placed elsewhere; runs go on. Where the settings have `evac_ms`, no start is sent and no round held once the knowledge is older than seven tenths of it. An unanswered start then waits instead of being given up, and the leader sleeps between its steps. A start that is held back for either reason puts its endpoint out of use no longer.

Ruled out: closed endpoints as draining ones, whose work is stopped; a copy of the requests in a table of our own (docs/design/evacuation.md).

--- a/src/dispatch/answers.rs
+++ b/src/dispatch/answers.rs
@@ -93,7 +93,7 @@
                         ..
                     } => NO_ROOM_BACKOFF_MS,
                     // The order was held back because of that, which says nothing about the endpoint.
-                    OrderError::NotSent(_) if given_up => 0,
+                    OrderError::NotSent(_) if given_up || self.withholds_starts(&start.endpoint, now) => 0,
                     _ => tuning.start_backoff_ms,
                 };
                 self.back_off(&start.endpoint, back_off_ms, now);
@@ -300,6 +300,8 @@
 
     /// Resends orders that have no answer.
     pub(super) fn resend(&mut self, now: u64) {
+        // The run of a start without an answer may exist; a start that is held back here would stop it.
+        let stale = self.is_stale(now);
         for (id, job) in &mut self.jobs {
             let payload = Arc::clone(&job.payload);
             let tickets = &job.tickets;
@@ -308,7 +310,7 @@
                 let (run, checkpoint) = (unit.run, Arc::clone(&unit.checkpoint));
                 for (index, member) in unit.members.iter_mut().enumerate() {
                     match &mut member.state {
-                        MemberState::Sent { tries, resend_at } if *resend_at <= now => {
+                        MemberState::Sent { tries, resend_at } if *resend_at <= now && !stale => {
                             *tries += 1;
                             *resend_at = now + self.tuning.resend_ms;
                             let ticket =
--- a/src/dispatch/claim.rs
+++ b/src/dispatch/claim.rs
@@ -34,15 +34,18 @@
     }
 
     /// What keeps it from being met.
-    pub fn obstacles(
+    pub fn obstacles<F>(
         &self,
         endpoints: &BTreeMap<Arc<str>, Endpoint>,
         typical_log_speed: f64,
-        now: u64,
-    ) -> Obstacles<'_> {
+        accepts_work: F,
+    ) -> Obstacles<'_>
+    where
+        F: Fn(&Endpoint) -> bool,
+    {
         let mut found = Obstacles::default();
         for (name, tasks) in &self.tasks_by_endpoint {
-            let Some(endpoint) = endpoints.get(name).filter(|endpoint| endpoint.is_open(now)) else {
+            let Some(endpoint) = endpoints.get(name).filter(|endpoint| accepts_work(endpoint)) else {
                 found.closed.push(&**name);
                 continue;
             };
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -1,6 +1,7 @@
 //! State of the dispatcher and the events that change it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use super::{
     Counts, Effect, Endpoint, Hold, Job, LeaseSource, MemberState, SpeedEstimate, Start, Tuning, WorkEstimates,
 };
+use crate::evacuation::Evacuations;
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
 
@@ -23,6 +25,8 @@
 pub struct Dispatcher {
     pub(super) tuning: Tuning,
     pub(super) config: Arc<SiteConfig>,
+    /// Failure domains to which nothing is sent.
+    pub(super) evacuations: Rc<Evacuations>,
     pub(super) jobs: BTreeMap<Arc<str>, Job>,
     pub(super) endpoints: BTreeMap<Arc<str>, Endpoint>,
     /// Jobs whose state has changed since it was last stored.
@@ -96,6 +100,7 @@
         Self {
             tuning,
             config: Arc::default(),
+            evacuations: Rc::default(),
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             dirty: DirtyQueue::default(),
@@ -164,6 +169,29 @@
         self.changed = true;
     }
 
+    /// Sets the failure domains to which nothing is sent.
+    pub fn close_domains(&mut self, evacuations: Rc<Evacuations>) {
+        self.changed |= evacuations.domains() != self.evacuations.domains();
+        self.evacuations = evacuations;
+    }
+
+    /// Whether new work may be placed on an endpoint.
+    pub(super) fn accepts_work(&self, endpoint: &Endpoint, now: u64) -> bool {
+        endpoint.is_open(now) && !self.evacuations.closes(&endpoint.entry.domain)
+    }
+
+    /// Whether failure domains may have been closed unknown to this leader, so that no start may be sent.
+    pub(super) fn is_stale(&self, now: u64) -> bool {
+        self.evacuations.is_stale(self.tuning.evacuation_stale_ms, now)
+    }
+
+    /// Whether no start may be sent to an endpoint because its failure domain is closed or may have been closed.
+    pub(super) fn withholds_starts(&self, endpoint: &str, now: u64) -> bool {
+        let known = self.endpoints.get(endpoint);
+        let closed = known.is_some_and(|known| self.evacuations.closes(&known.entry.domain));
+        closed || self.is_stale(now)
+    }
+
     /// Adds an accepted job in its stored state. Without a record the submission itself has yet to be stored, too.
     pub fn submit(
         &mut self,
@@ -312,7 +340,7 @@
 
     /// Grants the lease of a start that is about to be sent at `now` and returns its end on the clock of the endpoint.
     /// `None` if the start must not be sent: the clock is not known, the run has been given up since the start was decided,
-    /// or no lease may be granted there.
+    /// no lease may be granted there, or its failure domain is closed or may have been closed.
     pub fn lease_start(&mut self, start: &Start, now: u64) -> Option<u64> {
         let unit = self.jobs.get(&start.job)?.units.get(start.unit)?;
         let member = unit.members.get(start.member)?;
@@ -324,6 +352,10 @@
             return None;
         }
         let endpoint = self.endpoints.get_mut(&start.endpoint)?;
+        let stale_ms = self.tuning.evacuation_stale_ms;
+        if !self.evacuations.allows_start(&endpoint.entry.domain, stale_ms, now) {
+            return None;
+        }
         let span = self.tuning.start_lease_ms;
         let until = endpoint.lease_end_at(now, span)?;
         if !self
@@ -373,7 +405,8 @@
 
     /// Number of endpoints that accept new work.
     pub fn open_endpoints(&self, now: u64) -> usize {
-        self.endpoints.values().filter(|endpoint| endpoint.is_open(now)).count()
+        let endpoints = self.endpoints.values();
+        endpoints.filter(|endpoint| self.accepts_work(endpoint, now)).count()
     }
 
     /// Stops placing units before the lead is given up: a start that is recorded and not sent would cost its unit a
@@ -418,6 +451,9 @@
 
     /// Time until [`step`](Self::step) has to be called again, in milliseconds.
     pub fn ms_until_step(&self, now: u64) -> u64 {
+        if self.is_stale(now) {
+            return self.next_check.saturating_sub(now);
+        }
         self.next_round().min(self.next_check).saturating_sub(now)
     }
 
@@ -430,7 +466,7 @@
             self.evacuate(now);
             self.update_drain_bounds(now);
         }
-        if now >= self.next_round() && !self.paused {
+        if now >= self.next_round() && !self.paused && !self.is_stale(now) {
             self.changed = false;
             self.last_round = now;
             self.round(now, wall_ms);
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::Dispatcher;
 use super::claim::Claim;
 use super::job::core_equivalents;
 use super::place::Demand;
 use super::pool_view::PoolView;
 use super::round_cache::RoundCache;
 use super::victim_table::{Plan, Victim, VictimTable};
+use super::{Dispatcher, Endpoint};
 use crate::port::Resources;
 
 /// A claim that may be made.
@@ -126,8 +126,9 @@
         let timeout_ms = self.tuning.claim_timeout_ms;
         let mut dropped = Vec::new();
         for ((job, unit), claim) in &self.claims {
-            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, now);
-            let expired = claim.since + timeout_ms <= now;
+            let accepts_work = |endpoint: &Endpoint| self.accepts_work(endpoint, now);
+            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, accepts_work);
+            let expired = claim.since + timeout_ms <= now || self.is_evacuated(claim);
             if !expired && (found.slow.is_empty() || self.guarantee_is_due(job, now)) {
                 continue;
             }
@@ -142,6 +143,15 @@
         }
     }
 
+    /// Whether a claim counts on an endpoint in a closed failure domain.
+    fn is_evacuated(&self, claim: &Claim) -> bool {
+        let mut endpoints = claim
+            .tasks_by_endpoint
+            .keys()
+            .filter_map(|name| self.endpoints.get(name));
+        endpoints.any(|endpoint| self.evacuations.closes(&endpoint.entry.domain))
+    }
+
     /// Units that may be stopped for an urgent one, among them urgent ones beyond the guarantees of their teams if the jobs
     /// within these are given.
     fn victims(&self, views: &PoolView, guaranteed: Option<&BTreeSet<Arc<str>>>, now: u64) -> Vec<Victim> {
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -51,7 +51,7 @@
     fn open_endpoints_of(&self, pool: &str, now: u64) -> impl Iterator<Item = (&Arc<str>, &Endpoint)> {
         self.endpoints
             .iter()
-            .filter(move |(_, endpoint)| *endpoint.entry.pool == *pool && endpoint.is_open(now))
+            .filter(move |(_, endpoint)| *endpoint.entry.pool == *pool && self.accepts_work(endpoint, now))
     }
 
     /// Returns a kept snapshot if it names the endpoints that accept work now.
--- a/src/dispatch/tuning.rs
+++ b/src/dispatch/tuning.rs
@@ -1,5 +1,7 @@
 //! Tuning parameters of the dispatcher.
 
+use crate::evacuation::Evacuations;
+
 /// Time for the reports, the commit and the starts of a claim, in milliseconds; the stops are added to it.
 const CLAIM_OVERHEAD_MS: u64 = 700;
 
@@ -73,6 +75,9 @@
     pub claim_cost_share_rise: f64,
     /// How long a claim waits for its victims to stop before it is dropped, in milliseconds.
     pub claim_timeout_ms: u64,
+    /// Age of the knowledge of closed failure domains from which no starts are sent, in milliseconds; from the platform
+    /// settings, `None` on a site without evacuations.
+    pub evacuation_stale_ms: Option<u64>,
     /// Most blocked gangs that hold a reservation at the same time.
     pub reservations_max: usize,
 }
@@ -106,6 +111,7 @@
             claim_cost_share: 1.0,
             claim_cost_share_rise: 3.0,
             claim_timeout_ms: 900,
+            evacuation_stale_ms: None,
             reservations_max: 2,
         }
     }
@@ -134,4 +140,14 @@
             ..self
         }
     }
+
+    /// Sets the time in which a request to close a failure domain has to take effect; `None` on a site without
+    /// evacuations.
+    #[must_use]
+    pub fn with_evacuation_bound(self, bound_ms: Option<f64>) -> Self {
+        Self {
+            evacuation_stale_ms: bound_ms.map(Evacuations::stale_after_ms),
+            ..self
+        }
+    }
 }
--- a/src/intake/config_view.rs
+++ b/src/intake/config_view.rs
@@ -1,10 +1,13 @@
 //! Local copy of the configuration and its age.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::sync::Arc;
 
 use tokio::sync::Notify;
 
+use crate::evacuation::Evacuations;
+use crate::metric::InstanceMetrics;
 use crate::net::SteadyClock;
 use crate::port::SiteConfig;
 
@@ -12,6 +15,7 @@
 #[derive(Debug)]
 pub struct ConfigView {
     config: RefCell<Option<Arc<SiteConfig>>>,
+    evacuations: RefCell<Rc<Evacuations>>,
     /// Time at which the configuration was last known to be current, in milliseconds of the steady clock.
     confirmed_at: Cell<Option<u64>>,
     /// Smallest observed difference between the local clock and that of the store, in milliseconds.
@@ -27,6 +31,7 @@
     pub fn new(stale_after_ms: u64, clock: SteadyClock) -> Self {
         Self {
             config: RefCell::default(),
+            evacuations: RefCell::default(),
             confirmed_at: Cell::default(),
             clock_offset: Cell::default(),
             stale_after_ms,
@@ -45,6 +50,24 @@
         self.is_fresh().then(|| self.config()).flatten()
     }
 
+    /// The failure domains that are closed, as of the last confirmation.
+    pub fn evacuations(&self) -> Rc<Evacuations> {
+        Rc::clone(&self.evacuations.borrow())
+    }
+
+    /// Replaces the closed failure domains by those that were read; [`confirm`](Self::confirm) has to follow.
+    pub fn close_domains(&self, mut read: Evacuations) {
+        let known = self.evacuations();
+        for domain in read.domains().difference(known.domains()) {
+            log::info!(domain:%; "failure domain is closed");
+        }
+        for domain in known.domains().difference(read.domains()) {
+            log::info!(domain:%; "failure domain is open again");
+        }
+        read.known_at = known.known_at;
+        *self.evacuations.borrow_mut() = Rc::new(read);
+    }
+
     /// Time since the last confirmation, in milliseconds.
     pub fn age_ms(&self) -> Option<u64> {
         Some(self.clock.now().saturating_sub(self.confirmed_at.get()?))
@@ -55,6 +78,17 @@
         self.age_ms().is_some_and(|age| age <= self.stale_after_ms)
     }
 
+    /// Sets the metrics of the configuration and the closed failure domains.
+    pub fn update_metrics(&self, metrics: &InstanceMetrics) {
+        // -1 means that the store has not confirmed a configuration yet.
+        let age = self.age_ms().map_or(-1, u64::cast_signed);
+        metrics.config_age_ms.set(age);
+        let version = self.config().map_or(0, |config| config.version);
+        metrics.config_version.set(version.cast_signed());
+        let closed = self.evacuations.borrow().domains().len();
+        metrics.domains_closed.set(closed.cast_signed() as i64);
+    }
+
     /// Replaces the configuration unless `config` has the same or an older version.
     pub fn update(&self, config: SiteConfig) {
         let mut current = self.config.borrow_mut();
@@ -86,5 +120,6 @@
             .get()
             .map_or(confirmed_now, |previous| previous.max(confirmed_now));
         self.confirmed_at.set(Some(latest.min(now)));
+        Rc::make_mut(&mut self.evacuations.borrow_mut()).known_at = self.confirmed_at.get();
     }
 }
--- a/src/intake/follow.rs
+++ b/src/intake/follow.rs
@@ -6,6 +6,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::ConfigView;
+use crate::evacuation::Evacuations;
 use crate::port::{EntryDecoder, Range, Row, RowStore, StoreError};
 
 /// Maximum wait of the store for a change in one call. Together with the duration of a call it limits the time between
@@ -50,8 +51,8 @@
                     log::info!("following the configuration again");
                     failing = false;
                 }
-                version = Some(read_version);
-                apply_changes(&entries, &view, &changed);
+                let complete = version.replace(read_version).is_none();
+                apply_changes(&entries, &view, &changed, complete);
                 view.confirm(clock_ms);
             }
             Err(StoreError::HistoryGone) => version = None,
@@ -66,10 +67,26 @@
     }
 }
 
-fn apply_changes<E>(entries: &E, view: &ConfigView, rows: &[Row])
+/// Applies rows of the configuration's table: all of them if `complete`, else those that have changed.
+fn apply_changes<E>(entries: &E, view: &ConfigView, rows: &[Row], complete: bool)
 where
     E: EntryDecoder,
 {
+    let mut evacuations = Evacuations::default();
+    if !complete {
+        evacuations = Evacuations::clone(&view.evacuations());
+    }
+    for row in rows {
+        let Some(domain) = entries.decode_evacuation(row) else {
+            continue;
+        };
+        if row.value.is_some() {
+            evacuations.close(domain);
+        } else {
+            evacuations.open(&domain);
+        }
+    }
+    view.close_domains(evacuations);
     for row in rows {
         match entries.decode_config(row) {
             Ok(Some(config)) => view.update(config),
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -156,6 +156,7 @@
     if let Some(config) = candidate.view.config() {
         dispatcher.configure(config);
     }
+    dispatcher.close_domains(candidate.view.evacuations());
     for row in &endpoints.rows {
         update_endpoint_from_row(candidate, state, &mut dispatcher, row, now);
     }
@@ -231,6 +232,10 @@
         if let Some(config) = candidate.view.config() {
             state.dispatcher.borrow_mut().configure(config);
         }
+        state
+            .dispatcher
+            .borrow_mut()
+            .close_domains(candidate.view.evacuations());
         // A statement of its own, so that the borrow ends before orders are spawned.
         let begun = Instant::now();
         let effects = state
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod config;
 pub mod dispatch;
+pub mod evacuation;
 pub mod graph;
 pub mod instance;
 pub mod intake;
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -60,6 +60,8 @@
     pub jobs_running: Gauge,
     /// Endpoints that accept new work.
     pub endpoints_open: Gauge,
+    /// Failure domains that the operator has closed.
+    pub domains_closed: Gauge,
     /// Start and stop orders whose result is unknown.
     pub orders_in_doubt: Gauge,
     /// Jobs whose changes are not stored yet, while this instance is the leader.
@@ -94,6 +96,7 @@
             jobs_waiting: Gauge::default(),
             jobs_running: Gauge::default(),
             endpoints_open: Gauge::default(),
+            domains_closed: Gauge::default(),
             orders_in_doubt: Gauge::default(),
             jobs_unstored: Gauge::default(),
             lead_confirmed_age_ms: Gauge::default(),
@@ -166,16 +169,7 @@
             "Fencing token of the lead, 0 without it",
             metrics.fence.clone(),
         );
-        registry.register(
-            "config_age_ms",
-            "Age of the configuration, milliseconds",
-            metrics.config_age_ms.clone(),
-        );
-        registry.register(
-            "config_version",
-            "Configuration in force",
-            metrics.config_version.clone(),
-        );
+        metrics.register_config();
         metrics
     }
 }
@@ -186,6 +180,22 @@
 }
 
 impl InstanceMetrics {
+    /// Registers the metrics of what the operator has set.
+    fn register_config(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "config_age_ms",
+            "Age of the configuration, milliseconds",
+            self.config_age_ms.clone(),
+        );
+        registry.register("config_version", "Configuration in force", self.config_version.clone());
+        registry.register(
+            "domains_closed",
+            "Failure domains that the operator has closed",
+            self.domains_closed.clone(),
+        );
+    }
+
     /// Counts an answer to a caller and records the time that it took.
     pub fn record_answer(&self, call: &'static str, answer: String, time: Duration) {
         self.answers.get_or_create(&AnswerLabel { call, answer }).inc();
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod alike;
 mod busy;
 mod checker;
+mod closed_domains;
 mod drain_bounds;
 mod ends;
 mod evacuate;
--- a/tests/lead/main.rs
+++ b/tests/lead/main.rs
@@ -2,6 +2,7 @@
 
 mod cancel_orders;
 mod election;
+mod evacuation;
 mod expired_lead;
 mod holds;
 mod incarnation;
--- a/tests/lead/store.rs
+++ b/tests/lead/store.rs
@@ -39,12 +39,14 @@
     answer_delay: Duration,
     /// Additional delay of the answers to reads of partitions.
     read_delay: Duration,
-    /// The next request for changes of the intake table fails because the history was discarded.
-    history_gone: bool,
+    /// Tables for which the next request for changes fails because the history was discarded.
+    history_gone: BTreeSet<Arc<str>>,
     /// Until when no transaction reaches the store, because there is no connection.
     unconnected_until: Instant,
     /// Until when the answers to transactions are lost.
     answers_lost_until: Instant,
+    /// Table whose reads and feeds are not answered, and until when.
+    hanging_table: Option<(Arc<str>, Instant)>,
     /// Until when change feeds deliver nothing.
     feeds_silent_until: Instant,
     /// Queue of received hints of each instance, by its address.
@@ -74,9 +76,10 @@
             answer_wait: Duration::MAX,
             answer_delay: Duration::ZERO,
             read_delay: Duration::ZERO,
-            history_gone: false,
+            history_gone: BTreeSet::new(),
             unconnected_until: Instant::now(),
             answers_lost_until: Instant::now(),
+            hanging_table: None,
             feeds_silent_until: Instant::now(),
             hint_inboxes: BTreeMap::new(),
             blocked_partitions: BTreeSet::new(),
@@ -146,7 +149,28 @@
 
     /// Discards the history once: the next request for changes of the intake table fails.
     pub fn drop_history(&self) {
-        self.state.borrow_mut().history_gone = true;
+        self.drop_history_of(INTAKE);
+    }
+
+    /// The same for another table.
+    pub fn drop_history_of(&self, table: &str) {
+        self.state.borrow_mut().history_gone.insert(Arc::from(table));
+    }
+
+    /// Answers no reads and no requests for changes of a table for `ms` milliseconds, then fails them.
+    pub fn hang_table(&self, table: &str, ms: u64) {
+        let until = Instant::now() + Duration::from_millis(ms);
+        self.state.borrow_mut().hanging_table = Some((Arc::from(table), until));
+    }
+
+    /// Waits while a table hangs; returns whether it did.
+    async fn hang(&self, table: &str) -> bool {
+        let hanging = self.state.borrow().hanging_table.clone();
+        let Some((_, until)) = hanging.filter(|(hanging, until)| **hanging == *table && *until > Instant::now()) else {
+            return false;
+        };
+        sleep_until(until).await;
+        true
     }
 
     /// Loses the answers to all transactions for a time; they are applied.
@@ -193,6 +217,15 @@
         self.apply(&commit).expect("no condition");
     }
 
+    /// Removes a row without delay and condition.
+    pub fn remove(&self, table: &str, key: &str) {
+        let commit = Commit {
+            remove: vec![RowKey::new(table, key)],
+            ..Commit::default()
+        };
+        self.apply(&commit).expect("no condition");
+    }
+
     /// Value of a row.
     pub fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.state.borrow();
@@ -351,6 +384,9 @@
     }
 
     async fn read(&self, range: &Range) -> Result<Page, StoreError> {
+        if self.hang(&range.table).await {
+            return Err(StoreError::Unknown("the table hung".to_owned()));
+        }
         self.answer().await;
         let page = self.page(range);
         let read_delay = self.state.borrow().read_delay;
@@ -362,10 +398,13 @@
 
     async fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Changes, StoreError> {
         let end = Instant::now() + wait;
-        if table == INTAKE && std::mem::take(&mut self.state.borrow_mut().history_gone) {
+        if self.state.borrow_mut().history_gone.remove(table) {
             return Err(StoreError::HistoryGone);
         }
         loop {
+            if self.hang(table).await {
+                return Err(StoreError::Unknown("the table hung".to_owned()));
+            }
             let feeds_silent_until = self.state.borrow().feeds_silent_until;
             if feeds_silent_until > Instant::now() {
                 sleep_until(feeds_silent_until).await;
--- a/tests/lead/world.rs
+++ b/tests/lead/world.rs
@@ -107,6 +107,9 @@
             standby: false,
         };
         config.pools.insert(Arc::clone(&queue.pool), pool);
+        if row.key.starts_with("closed/") {
+            return Ok(None);
+        }
         if row.value.as_deref() == Some(b"no queue") {
             return Ok(Some(SiteConfig { version: 2, ..config }));
         }
@@ -114,6 +117,10 @@
         Ok(Some(config))
     }
 
+    fn decode_evacuation(&self, row: &Row) -> Option<Arc<str>> {
+        row.key.strip_prefix("closed/").map(Arc::from)
+    }
+
     fn decode_endpoint(&self, row: &Row) -> Result<Option<EndpointEntry>, String> {
         if row.value.as_deref() == Some(b"odd") {
             return Err("an odd entry".to_owned());
@@ -218,8 +225,31 @@
         Self { orders, ..instance }
     }
 
+    /// The same on a site where requests to close failure domains have to take effect within `bound_ms`.
+    pub fn start_with_evacuations(store: &MemoryStore, name: &str, millicores: u32, bound_ms: f64) -> Self {
+        let orders = UnreachableEndpoints::default();
+        let tuning = Tuning::default().with_evacuation_bound(Some(bound_ms));
+        let instance = Self::start_tuned(store, name, millicores, orders.clone(), SingleQueueEntries, tuning);
+        Self { orders, ..instance }
+    }
+
     /// The same with these endpoints.
     pub fn start_with<O, E>(store: &MemoryStore, name: &str, millicores: u32, orders: O, entries: E) -> Self
+    where
+        O: Orders,
+        E: EntryDecoder,
+    {
+        Self::start_tuned(store, name, millicores, orders, entries, Tuning::default())
+    }
+
+    fn start_tuned<O, E>(
+        store: &MemoryStore,
+        name: &str,
+        millicores: u32,
+        orders: O,
+        entries: E,
+        tuning: Tuning,
+    ) -> Self
     where
         O: Orders,
         E: EntryDecoder,
@@ -239,7 +269,7 @@
             view: Rc::clone(&view),
             stop: Rc::clone(&stop),
             metrics: Rc::clone(&metrics),
-            tuning: Tuning::default(),
+            tuning,
             timing: Timing {
                 heartbeat_interval_ms: 500,
                 heartbeat_timeout_ms: 1_500,
