Close failure domains at random in the soak

Cause: the tests of closed domains play one fault at a time; starts that are late, repeated or taken over meet a request only by chance.

Change: an operator with a random source of its own closes and opens racks and keeps the leader from reading the requests. A start that may be sent is checked against what the leader has read, and against what has been closed for longer than its knowledge may be old. The other modes draw the same random numbers as before.

--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -22,6 +22,7 @@
 mod odd_estimates;
 mod odd_jobs;
 mod odd_reports;
+mod operator;
 mod preempt;
 mod probes;
 mod removed_queue;
--- a/tests/dispatch/soak.rs
+++ b/tests/dispatch/soak.rs
@@ -16,6 +16,7 @@
 
 use crate::event::{Event, Events, Message, Order, Reply};
 use crate::fleet::{Delivery, EndpointClock, Fleet, TaskKind};
+use crate::operator::{Operator, STALE_MS};
 use crate::store::{FakeStore, Write};
 use crate::trace;
 use crate::world::{T0, config, entry, gang, name, step, submission};
@@ -142,6 +143,8 @@
     drain_rate: f64,
     /// Draining endpoints.
     draining: BTreeSet<Arc<str>>,
+    /// Closes failure domains, in the runs with an operator; each rack is one.
+    operator: Option<Operator>,
     /// Leaders release the lead if they can.
     releases: bool,
     /// This leader has released the lead.
@@ -213,6 +216,7 @@
             names: (0..ENDPOINTS).map(|at| name(&format!("e{at}"))).collect(),
             drain_rate: 0.0,
             draining: BTreeSet::new(),
+            operator: None,
             releases: false,
             released: false,
             releases_stored: 0,
@@ -228,13 +232,34 @@
 
     fn entry(&self, endpoint: &Arc<str>) -> EndpointEntry {
         let at = address_of(endpoint);
+        let plain = entry(&format!("10.0.0.{at}:1"), &format!("r{}", at / 4));
+        let rack = plain.rack.clone().filter(|_| self.operator.is_some());
         EndpointEntry {
+            domain: rack.unwrap_or_else(|| Arc::clone(&plain.domain)),
             born: self.fleet.fakes[endpoint].born,
             draining: self.draining.contains(endpoint),
-            ..entry(&format!("10.0.0.{at}:1"), &format!("r{}", at / 4))
+            ..plain
         }
     }
 
+    fn tuning(&self) -> Tuning {
+        Tuning {
+            evacuation_stale_ms: self.operator.as_ref().map(|_| STALE_MS),
+            ..Tuning::default()
+        }
+    }
+
+    /// Adds an operator who closes failure domains.
+    fn with_operator(mut self, seed: u64) -> Self {
+        self.operator = Some(Operator::new(seed));
+        for endpoint in self.names.clone() {
+            let entry = self.entry(&endpoint);
+            self.entries.insert(endpoint, entry);
+        }
+        self.replace_leader();
+        self
+    }
+
     fn chance(&mut self, probability: f64) -> bool {
         self.random.random_bool(probability)
     }
@@ -265,7 +290,10 @@
         self.late_commit = None;
         self.next_commit = self.now;
         self.confirmed_at = self.now;
-        self.dispatcher = Dispatcher::new(Tuning::default(), self.now);
+        self.dispatcher = Dispatcher::new(self.tuning(), self.now);
+        if let Some(operator) = &mut self.operator {
+            operator.replace_leader();
+        }
         self.dispatcher.raise_fence(self.store.fence, self.now);
         self.dispatcher.configure(Arc::new(config()));
         let (fence, bounds, common_bound) = &self.store.lease_bounds;
@@ -359,10 +387,26 @@
         known.fence.filter(|_| known.entry.born == born)
     }
 
+    /// Checks that the failure domain of a start that may be sent is open.
+    fn check_domain(&mut self, start: &Start, is_sent: bool) {
+        let Some(operator) = &mut self.operator else { return };
+        let domain = format!("r{}", address_of(&start.endpoint) / 4);
+        if !is_sent {
+            operator.note_held_back(&domain);
+        } else if let Some(why) = operator.violation(&domain, self.now) {
+            let (now, task, endpoint) = (self.now, &start.task, &start.endpoint);
+            self.fleet
+                .violations
+                .push(format!("{now}: start of {task} sent to {endpoint} in {domain}, {why}"));
+        }
+    }
+
     fn send_effect(&mut self, effect: Effect) {
         let (order, fence) = match &effect {
             Effect::Start(start) => {
-                let Some(until) = self.dispatcher.lease_start(start, self.now) else {
+                let until = self.dispatcher.lease_start(start, self.now);
+                self.check_domain(start, until.is_some());
+                let Some(until) = until else {
                     return self.answered(&effect, Err(OrderError::NotSent("given up".to_owned())));
                 };
                 if !self.is_confirmed() {
@@ -860,6 +904,9 @@
             self.handle(event);
         }
         self.hold_all();
+        if let Some(operator) = &mut self.operator {
+            self.dispatcher.close_domains(operator.read(self.now));
+        }
         for effect in self.dispatcher.step(self.now, self.now) {
             self.send_effect(effect);
         }
@@ -929,9 +976,15 @@
                 self.submit(number);
             }
             self.inject_fault();
+            if let Some(operator) = &mut self.operator {
+                operator.act(self.now);
+            }
             self.tick();
         }
         self.fault_rate = 0.0;
+        if let Some(operator) = &mut self.operator {
+            operator.finish();
+        }
         for fake in self.fleet.fakes.values_mut() {
             fake.cut_off = false;
         }
@@ -974,12 +1027,23 @@
     failures_of(soak).0
 }
 
+/// The same if an operator closes failure domains, and how many starts were held back for that.
+fn failures_with_operator(seed: u64) -> (Vec<String>, u64) {
+    let mut soak = Soak::new(seed, 0.0).with_operator(seed);
+    let failures = run_soak(&mut soak);
+    (failures, soak.operator.map_or(0, |operator| operator.held_back))
+}
+
 fn failures_of(mut soak: Soak) -> (Vec<String>, u64) {
+    (run_soak(&mut soak), soak.releases_stored)
+}
+
+fn run_soak(soak: &mut Soak) -> Vec<String> {
     soak.run();
     let unfinished = soak.unfinished_jobs();
-    let mut failures = soak.fleet.violations;
+    let mut failures = std::mem::take(&mut soak.fleet.violations);
     failures.extend(unfinished.iter().map(|(id, phase)| format!("{id} ended as {phase:?}")));
-    (failures, soak.releases_stored)
+    failures
 }
 
 fn run_seed(seed: u64, replace_rate: f64) {
@@ -1027,6 +1091,20 @@
     }
 }
 
+/// Guards against a start in a failure domain that the leader knows to be closed, or that was closed while it could not
+/// read the requests.
+#[test]
+fn random_faults_with_closed_domains_violate_no_invariant() {
+    let mut held_back = 0;
+    for seed in 0..SEEDS {
+        let (failures, count) = failures_with_operator(seed);
+        held_back += count;
+
+        assert_eq!(failures, Vec::<String>::new(), "seed {seed}");
+    }
+    assert!(held_back > 0, "no start was held back");
+}
+
 /// Guards against the return of faults that were fixed.
 #[test]
 fn seeds_that_once_failed_pass() {
@@ -1049,6 +1127,7 @@
         failures.extend(self::failures(seed, REPLACE_RATE));
         failures.extend(failures_with_releases(seed).0);
         failures.extend(failures_with_drains(seed));
+        failures.extend(failures_with_operator(seed).0);
         if failures.is_empty() {
             continue;
         }
