Test gangs and reservations in closed domains

Cause: the tests of closed domains play single tasks and claims; a gang may have members on both sides of the border, or a reservation inside.

Change: one test of a gang of which some starts are held back after others were sent, and one of a gang with a reservation.

Ruled out: an exact number of stops for the gang, as members whose starts are under way are stopped, too.

--- a/tests/dispatch/closed_domains.rs
+++ b/tests/dispatch/closed_domains.rs
@@ -244,6 +244,57 @@
     assert_eq!(endpoints_of(&one), ["e0", "e1"]);
 }
 
+/// Guards against a gang that keeps its reservation in a closed domain, and starts there or nowhere.
+#[test]
+fn a_reservation_moves_out_of_a_closed_domain() {
+    let mut world = world(4);
+    world.submit("batch", "batch", vec![step(4, 8, 60_000)]);
+    let running = advance(&mut world, 100);
+    world.submit("gang", "normal", vec![gang(2, 8, 2_000)]);
+    advance(&mut world, 100);
+
+    close(&mut world, &["d0"]);
+    let mut sent = Vec::new();
+    for domain in ["d0", "d1"] {
+        for start in running.iter().filter(|start| domain_of(&start.endpoint) == domain) {
+            world.report(&start.endpoint, &[], &[(1, &start.task, start.run, Outcome::Done)]);
+        }
+        sent.push(advance(&mut world, 200));
+    }
+
+    assert_eq!(running.len(), 4);
+    assert_eq!(endpoints_of(&sent[0]), Vec::<&str>::new());
+    assert_eq!(endpoints_of(&sent[1]), ["e2", "e3"]);
+}
+
+/// Guards against a gang of which one part runs and the other is held back for good.
+#[test]
+fn a_gang_that_is_held_back_in_part_starts_elsewhere_as_a_whole() {
+    let mut world = world(6);
+    world.submit("gang", "normal", vec![gang(4, 8, 2_000)]);
+    let mut stored = world.advance(50);
+    let closed = domain_of(&stored[0].endpoint);
+    // The members outside are sent before another one is held back.
+    stored.sort_by_key(|start| domain_of(&start.endpoint) == closed);
+
+    close(&mut world, &[&closed]);
+    let first = send(&mut world, &stored);
+    world.advance(50);
+    end_stopped(&mut world, 0);
+    let again = advance(&mut world, 500);
+
+    assert_eq!((stored.len(), first.len()), (4, 2));
+    let is_stopped = |start: &Start| {
+        world
+            .stops
+            .iter()
+            .any(|stop| stop.task == start.task && stop.run == start.run)
+    };
+    assert!(first.iter().all(is_stopped), "{:?}", world.stops);
+    assert_eq!(again.len(), 4);
+    assert!(again.iter().all(|start| domain_of(&start.endpoint) != closed));
+}
+
 /// Guards against requests for advice on endpoints that get no work, which delay the others.
 #[test]
 fn no_advice_is_requested_on_a_closed_domain() {
