--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -11,7 +11,7 @@
 use super::round::remaining_ms;
 use super::round_cache::RoundCache;
 use super::victim_table::{Plan, Victim, VictimTable};
-use super::{Dispatcher, Job};
+use super::{Dispatcher, Endpoint, Job};
 use crate::port::Resources;
 use crate::victims::Stake;
 
@@ -132,8 +132,9 @@
         let timeout_ms = self.tuning.claim_timeout_ms;
         let mut dropped = Vec::new();
         for ((job, unit), claim) in &self.claims {
-            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, now);
-            let expired = claim.since + timeout_ms <= now;
+            let accepts_work = |endpoint: &Endpoint| self.accepts_work(endpoint, now);
+            let found = claim.obstacles(&self.endpoints, self.typical_log_speed, accepts_work);
+            let expired = claim.since + timeout_ms <= now || self.is_evacuated(claim);
             if !expired && (found.slow.is_empty() || self.guarantee_is_due(job, now)) {
                 continue;
             }
@@ -156,6 +157,15 @@
         self.restart_waits.expected_ms(&job.submission.queue)
     }
 
+    /// Whether a claim counts on an endpoint in a closed failure domain.
+    fn is_evacuated(&self, claim: &Claim) -> bool {
+        let mut endpoints = claim
+            .tasks_by_endpoint
+            .keys()
+            .filter_map(|name| self.endpoints.get(name));
+        endpoints.any(|endpoint| self.evacuations.closes(&endpoint.entry.domain))
+    }
+
     /// Units that may be stopped for an urgent one, among them urgent ones beyond the guarantees of their teams if the jobs
     /// within these are given.
     fn victims(&self, views: &PoolView, guaranteed: Option<&BTreeSet<Arc<str>>>, now: u64) -> Vec<Victim> {
