Learn only from images which tasks slow each other down

Jobs of a queue differ, and endpoints are slow for a time.

Change: a task without an image has no kind.

--- a/src/dispatch/interfering.rs
+++ b/src/dispatch/interfering.rs
@@ -31,8 +31,10 @@
     ) {
         let mut measured = self.tails(name, running, now);
         for (placed_run, step, log_ratio) in speeds {
-            let compared = self.learn_speed(name, &placed_run.job, step, log_ratio);
-            if let Some(log_speed) = compared.filter(|_| self.is_first_comparison(&placed_run)) {
+            let Some(log_speed) = self.learn_speed(name, &placed_run.job, step, log_ratio) else {
+                continue;
+            };
+            if !placed_run.kind.is_empty() && self.is_first_comparison(&placed_run) {
                 measured.push((placed_run.kind, log_speed));
             }
         }
@@ -71,7 +73,8 @@
                 continue;
             };
             let step = job.step(placed_run.unit);
-            if step.lasting && step.tail_latency_max_ms > 0 && found.load > 0.0 {
+            let has_kind = !placed_run.kind.is_empty();
+            if has_kind && step.lasting && step.tail_latency_max_ms > 0 && found.load > 0.0 {
                 tails.push((Arc::clone(&placed_run.kind), -found.load.ln()));
             }
         }
@@ -85,7 +88,7 @@
             return kinds;
         };
         for ((task, run), placed_run) in &endpoint.runs {
-            if !running.contains_key(&(&**task, *run)) {
+            if placed_run.kind.is_empty() || !running.contains_key(&(&**task, *run)) {
                 continue;
             }
             let job = self.jobs.get(&placed_run.job);
--- a/src/dispatch/job.rs
+++ b/src/dispatch/job.rs
@@ -75,7 +75,7 @@
             let name = |index| task_name(&id, occurrence, step, index);
             unit.restore(saved, name, now);
         }
-        let kinds = submission.graph.steps.iter().map(|step| kind(step, &submission.queue));
+        let kinds = submission.graph.steps.iter().map(|step| Arc::from(&*step.image));
         Self {
             kinds: kinds.collect(),
             team: Arc::from(&*submission.team),
@@ -108,7 +108,7 @@
         &self.submission.graph.steps[self.units[unit].step]
     }
 
-    /// Kind of the tasks of a unit: their image or, without one, the queue. Tasks of a kind behave alike.
+    /// Kind of the tasks of a unit: their image; empty without one. Tasks of one image behave alike, those of a queue need not.
     pub fn kind(&self, unit: usize) -> &Arc<str> {
         &self.kinds[self.units[unit].step]
     }
@@ -187,10 +187,6 @@
     }
 }
 
-fn kind(step: &Step, queue: &str) -> Arc<str> {
-    Arc::from(if step.image.is_empty() { queue } else { &*step.image })
-}
-
 fn task_name(job: &Arc<str>, occurrence: u32, step: u32, index: u32) -> Arc<str> {
     let name = TaskName {
         job: Arc::clone(job),
