Mend what the review of connections and victims found

- A connection that is to be closed for another one could begin to handle its request in the same turn and was cut off then: the closing is checked first now.
- A large body for which there can be no room no longer drives out others in vain; a refused connection whose answer is not read can be closed.
- The rank of a job is computed once for all of its units, and its least speed comes from the rank; several units of a step take slow endpoints in one round; times saturate.

--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -24,7 +24,7 @@
     claim: Claim,
     /// Tasks on each endpoint and victims, by their indices in the table of victims.
     plan: Plan,
-    /// Work that would be lost, in core-seconds.
+    /// What callers would lose, in core-seconds.
     pub cost: f64,
     include_borrowers: bool,
 }
@@ -175,6 +175,11 @@
             if job.queue.is_none() || !may_stop {
                 continue;
             }
+            let left_ms = if job.index.active.is_empty() {
+                0
+            } else {
+                Rank::of(job, &self.work_estimates, now).left_ms(now)
+            };
             for position in job.index.active.iter().copied() {
                 let unit = &job.units[position];
                 let need = job.need(position);
@@ -194,13 +199,18 @@
                     now.saturating_sub(unit.placed_at)
                 };
                 let wait_ms = self.restart_wait_ms(job, position);
-                let again_ms = at_risk_ms + wait_ms + remaining_ms(job, position, &self.work_estimates, now);
+                let again_ms = at_risk_ms.saturating_add(wait_ms).saturating_add(remaining_ms(
+                    job,
+                    position,
+                    &self.work_estimates,
+                    now,
+                ));
                 let stake = Stake {
                     cores: core_equivalents(&need) * unit.members.len() as f64,
                     lost_ms: at_risk_ms,
                     wait_ms,
                     stops: unit.stops(),
-                    in_time: again_ms <= Rank::of(job, &self.work_estimates, now).left_ms(now),
+                    in_time: again_ms <= left_ms,
                 };
                 victims.push(Victim {
                     unit: (Arc::clone(id), position),
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -20,7 +20,6 @@
 use super::speed;
 use super::{Dispatcher, Endpoint, EndpointView, Job, Member, MemberState, Start, UnitState, WorkEstimates};
 use crate::graph::Phase;
-use crate::victims;
 
 /// Number of units that may be stopped for each millisecond until they are looked at again. Bounds the share of time
 /// that the search takes on a large fleet; a fleet of some hundred endpoints is searched in each round.
@@ -230,7 +229,10 @@
                 continue;
             }
             if rank.is_urgent() {
-                self.place_urgent(id, position, views, cache, &rank, now);
+                if self.place_urgent(id, position, views, cache, &rank, now) {
+                    // The next unit of the step may be placed in the same way.
+                    unplaceable.remove(&step_key);
+                }
             } else if demand.count > 1 && cache.reservations.len() < self.tuning.reservations_max {
                 self.reserve(id, position, views, cache, &rank, now);
             }
@@ -334,7 +336,8 @@
         alike
     }
 
-    /// Places an urgent unit that does not fit: preempts others, or else takes slow endpoints.
+    /// Places an urgent unit that does not fit: takes slow endpoints that will do, preempts others, or else takes any slow
+    /// endpoints. Returns whether the unit was started.
     fn place_urgent(
         &mut self,
         id: &Arc<str>,
@@ -343,17 +346,17 @@
         cache: &mut RoundCache,
         rank: &Rank,
         now: u64,
-    ) {
+    ) -> bool {
         let mut demand = self.demand(views, id, position, rank, now);
-        demand.min_speed = self.least_speed(id, rank, now);
+        demand.min_speed = rank.least_speed(self.typical_log_speed.exp(), now);
         if demand.min_speed < views.slow_below()
             && let Some(chosen) = place::place(views, &demand)
         {
             self.start_unit(id, position, views, &chosen, now);
-            return;
+            return true;
         }
         if now < self.claims_due {
-            return;
+            return false;
         }
         demand.min_speed = views.slow_below();
         let guarantee_due = self.guarantee_is_due(id, now)
@@ -379,17 +382,11 @@
         }
         if let Some(plan) = plan {
             self.preempt(id, position, views, plan, cache, now);
-        } else if let Some(chosen) = slow {
-            self.start_unit(id, position, views, &chosen, now);
+            return false;
         }
-    }
-
-    /// Least speed of an endpoint on which a job that starts now would end in time.
-    fn least_speed(&self, id: &Arc<str>, rank: &Rank, now: u64) -> f64 {
-        let job = &self.jobs[id];
-        let steps = &job.submission.graph;
-        let expected_ms = steps.critical_path(|step| job.expected_ms(step, &self.work_estimates));
-        victims::least_speed(expected_ms, self.typical_log_speed.exp(), rank.left_ms(now))
+        let Some(chosen) = slow else { return false };
+        self.start_unit(id, position, views, &chosen, now);
+        true
     }
 
     /// Requirements of a unit on its endpoints.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -11,7 +11,7 @@
 /// Phase of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
-    /// Waiting for the first byte of a request.
+    /// Waiting for the first byte of a request, or writing an answer.
     Idle,
     /// Waiting for the rest of a request.
     Request,
@@ -64,6 +64,10 @@
 
     /// Enters a phase and restarts its timeout.
     pub fn enter(&self, next: Phase) {
+        if next == Phase::Idle {
+            // The answer to a refused request closes the connection, which may be closed for others until then.
+            self.refused.set(false);
+        }
         self.phase.set(next);
         self.since.set(Instant::now());
     }
--- a/src/net/connection_table.rs
+++ b/src/net/connection_table.rs
@@ -98,7 +98,7 @@
             let doubled = (2 * capacity).max(BODY_CAPACITY_MIN).min(body_limit);
             let needed = length.max(doubled);
             if !self.reserve(connection, needed) {
-                self.metrics.count_refused("its body outweighs all others");
+                self.metrics.count_refused("no memory is left for its body");
                 return Err(BodyError::Overloaded);
             }
             let mut body = connection.body.borrow_mut();
@@ -118,7 +118,16 @@
             bytes: connection.reserved.get(),
             age: connection.age(),
         };
+        let others = self.reserved.get() - connection.reserved.get();
+        let held = self.occupancies().into_iter();
+        let freeable: usize = held
+            .filter(|other| other.connection != connection.number)
+            .map(|other| other.bytes)
+            .sum();
         // A body that is alone is received whatever the limit for all is.
+        if others > 0 && others - freeable + bytes > limit {
+            return false;
+        }
         while self.reserved.get() > connection.reserved.get() && self.reserved.get() + more > limit {
             match heaviest(self.occupancies().into_iter(), growing, bytes) {
                 Some(number) if number != connection.number => self.refuse(number),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -119,14 +119,17 @@
         .half_close(true)
         .serve_connection(TokioIo::new(timeout_stream), service);
     tokio::pin!(connection);
+    // A connection that is to be closed must not begin to handle a request.
     let ended = tokio::select! {
-        ended = &mut connection => ended,
+        biased;
         () = state.closed() => return,
+        ended = &mut connection => ended,
         _ = stop_signal.changed() => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
-                ended = &mut connection => ended,
+                biased;
                 () = state.closed() => return,
+                ended = &mut connection => ended,
             }
         }
     };
