--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -228,13 +228,9 @@
                 claim.apply(views, false);
                 continue;
             }
-            if rank.is_urgent() {
-                if self.place_urgent(id, position, views, cache, &rank, now) {
-                    // The next unit of the step may be placed in the same way.
-                    unplaceable.remove(&step_key);
-                }
-            } else if demand.count > 1 && cache.reservations.len() < self.tuning.reservations_max {
-                self.reserve(id, position, views, cache, &rank, now);
+            if self.place_blocked(id, position, views, cache, &rank, now) {
+                // The next unit of the step may be placed in the same way.
+                unplaceable.remove(&step_key);
             }
         }
         for (step_key, endpoints) in requests {
@@ -336,6 +332,25 @@
         alike
     }
 
+    /// Places an urgent unit that does not fit, or reserves endpoints for a gang. Returns whether the unit was started.
+    fn place_blocked(
+        &mut self,
+        id: &Arc<str>,
+        position: usize,
+        views: &mut PoolView,
+        cache: &mut RoundCache,
+        rank: &Rank,
+        now: u64,
+    ) -> bool {
+        if rank.is_urgent() {
+            return self.place_urgent(id, position, views, cache, rank, now);
+        }
+        if self.jobs[id].units[position].size > 1 && cache.reservations.len() < self.tuning.reservations_max {
+            self.reserve(id, position, views, cache, rank, now);
+        }
+        false
+    }
+
     /// Places an urgent unit that does not fit: takes slow endpoints that will do, preempts others, or else takes any slow
     /// endpoints. Returns whether the unit was started.
     fn place_urgent(
