Take back the costs of victims

Change: preemption, rank and the placing of urgent units are as before; closed failure domains and interference stay.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -20,7 +20,6 @@
 use crate::graph::{JobRecord, Phase, Submission};
 use crate::interference::Interference;
 use crate::port::{EndpointEntry, Queue, Resources, SiteConfig};
-use crate::victims::RestartWaits;
 
 /// Decides which task runs where, and when.
 #[derive(Debug)]
@@ -52,8 +51,6 @@
     pub(super) lease_bounds: LeaseBounds,
     /// Speeds learned by a former leader for endpoints that have not been listed yet, by name and incarnation.
     pub(super) restored_speeds: BTreeMap<(Arc<str>, u64), SpeedEstimate>,
-    /// How long gangs that were stopped wait for their next start.
-    pub(super) restart_waits: RestartWaits,
     /// Learned work of tasks, by queue.
     pub(super) work_estimates: WorkEstimates,
     /// Measured effects between kinds of tasks.
@@ -123,7 +120,6 @@
             probe_slots: ProbeSlots::default(),
             lease_bounds: LeaseBounds::default(),
             reservations: BTreeMap::new(),
-            restart_waits: RestartWaits::default(),
             work_estimates: WorkEstimates::default(),
             interference: Interference::default(),
             interfering: BTreeSet::new(),
@@ -179,7 +175,6 @@
                 job.queue = queue_of(&config, &job.submission);
             }
         }
-        self.restart_waits.retain(|queue| config.queues.contains_key(queue));
         self.config = config;
         self.changed = true;
     }
--- a/src/dispatch/preempt.rs
+++ b/src/dispatch/preempt.rs
@@ -7,16 +7,10 @@
 use super::job::core_equivalents;
 use super::place::Demand;
 use super::pool_view::PoolView;
-use super::rank::Rank;
-use super::round::remaining_ms;
 use super::round_cache::RoundCache;
 use super::victim_table::{Plan, Victim, VictimTable};
-use super::{Dispatcher, Endpoint, Job};
+use super::{Dispatcher, Endpoint};
 use crate::port::Resources;
-use crate::victims::Stake;
-
-/// Why a unit was stopped for an urgent one.
-pub(super) const PREEMPTED: &str = "preempted";
 
 /// A claim that may be made.
 #[derive(Debug)]
@@ -24,7 +18,7 @@
     claim: Claim,
     /// Tasks on each endpoint and victims, by their indices in the table of victims.
     plan: Plan,
-    /// What callers would lose, in core-seconds.
+    /// Work that would be lost, in core-seconds.
     pub cost: f64,
     include_borrowers: bool,
 }
@@ -121,7 +115,7 @@
             let victim = table.victim(*index);
             let (job, unit) = &victim.unit;
             log::info!(job:% = id, victim:% = job, unit, cost = victim.cost; "unit preempted by an urgent job");
-            self.stop_unit(job, *unit, PREEMPTED, now);
+            self.stop_unit(job, *unit, "preempted", now);
         }
         table.claim(views, &found.plan);
     }
@@ -149,14 +143,6 @@
         }
     }
 
-    /// Time that a unit would wait for its next start if it were stopped, in milliseconds.
-    fn restart_wait_ms(&self, job: &Job, position: usize) -> u64 {
-        if job.units[position].size == 1 {
-            return 0;
-        }
-        self.restart_waits.expected_ms(&job.submission.queue)
-    }
-
     /// Whether a claim counts on an endpoint in a closed failure domain.
     fn is_evacuated(&self, claim: &Claim) -> bool {
         let mut endpoints = claim
@@ -175,11 +161,6 @@
             if job.queue.is_none() || !may_stop {
                 continue;
             }
-            let left_ms = if job.index.active.is_empty() {
-                0
-            } else {
-                Rank::of(job, &self.work_estimates, now).left_ms(now)
-            };
             for position in job.index.active.iter().copied() {
                 let unit = &job.units[position];
                 let need = job.need(position);
@@ -198,23 +179,9 @@
                 } else {
                     now.saturating_sub(unit.placed_at)
                 };
-                let wait_ms = self.restart_wait_ms(job, position);
-                let again_ms = at_risk_ms.saturating_add(wait_ms).saturating_add(remaining_ms(
-                    job,
-                    position,
-                    &self.work_estimates,
-                    now,
-                ));
-                let stake = Stake {
-                    cores: core_equivalents(&need) * unit.members.len() as f64,
-                    lost_ms: at_risk_ms,
-                    wait_ms,
-                    stops: unit.stops(),
-                    in_time: again_ms <= left_ms,
-                };
                 victims.push(Victim {
                     unit: (Arc::clone(id), position),
-                    cost: stake.loss(),
+                    cost: at_risk_ms as f64 / 1_000.0 * core_equivalents(&need) * unit.members.len() as f64,
                     rooms,
                 });
             }
--- a/src/dispatch/rank.rs
+++ b/src/dispatch/rank.rs
@@ -3,7 +3,6 @@
 use std::cmp::Ordering;
 
 use super::{Job, WorkEstimates};
-use crate::victims;
 
 /// Fraction of the expected time that a job may take at best, on fast endpoints or if it was overestimated.
 const BEST_CASE_SHARE: f64 = 0.6;
@@ -12,14 +11,12 @@
 const PRIORITY_MAX: u32 = u32::MAX / 4;
 
 /// Sort key of a job; the smallest is served first.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Rank {
     /// Urgent jobs come first, then those that can still be in time by priority, then the late ones by priority.
     class: u32,
     /// Time by which the job should be done, in milliseconds.
     due: u64,
-    /// Expected time of its longest chain of steps, in milliseconds on a typical endpoint; does not count for the order.
-    chain_ms: f64,
 }
 
 impl Rank {
@@ -44,21 +41,7 @@
             // A late job has little value left, so it must not delay one that can be in time.
             (_, true) => u32::MAX / 2 + priority,
         };
-        Self {
-            class,
-            due,
-            chain_ms: chain,
-        }
-    }
-
-    /// Time until the job should be done, in milliseconds.
-    pub fn left_ms(&self, now: u64) -> u64 {
-        self.due.saturating_sub(now)
-    }
-
-    /// Least speed of an endpoint on which the job ends in time if it starts now and a typical one has `typical_speed`.
-    pub fn least_speed(&self, typical_speed: f64, now: u64) -> f64 {
-        victims::least_speed(self.chain_ms, typical_speed, self.left_ms(now))
+        Self { class, due }
     }
 
     /// Whether the job may preempt others.
@@ -72,12 +55,6 @@
     }
 }
 
-impl PartialEq for Rank {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
 impl Eq for Rank {}
 
 impl PartialOrd for Rank {
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -13,7 +13,6 @@
 use super::permit::Permit;
 use super::place::{self, AVOID_NONE, Demand};
 use super::pool_view::PoolView;
-use super::preempt::PREEMPTED;
 use super::rank::Rank;
 use super::record_room::RecordRoom;
 use super::round_cache::RoundCache;
@@ -228,9 +227,10 @@
                 claim.apply(views, false);
                 continue;
             }
-            if self.place_blocked(id, position, views, cache, &rank, now) {
-                // The next unit of the step may be placed in the same way.
-                unplaceable.remove(&step_key);
+            if rank.is_urgent() {
+                self.place_urgent(id, position, views, cache, &rank, now);
+            } else if demand.count > 1 && cache.reservations.len() < self.tuning.reservations_max {
+                self.reserve(id, position, views, cache, &rank, now);
             }
         }
         for (step_key, endpoints) in requests {
@@ -332,27 +332,7 @@
         alike
     }
 
-    /// Places an urgent unit that does not fit, or reserves endpoints for a gang. Returns whether the unit was started.
-    fn place_blocked(
-        &mut self,
-        id: &Arc<str>,
-        position: usize,
-        views: &mut PoolView,
-        cache: &mut RoundCache,
-        rank: &Rank,
-        now: u64,
-    ) -> bool {
-        if rank.is_urgent() {
-            return self.place_urgent(id, position, views, cache, rank, now);
-        }
-        if self.jobs[id].units[position].size > 1 && cache.reservations.len() < self.tuning.reservations_max {
-            self.reserve(id, position, views, cache, rank, now);
-        }
-        false
-    }
-
-    /// Places an urgent unit that does not fit: takes slow endpoints that will do, preempts others, or else takes any slow
-    /// endpoints. Returns whether the unit was started.
+    /// Places an urgent unit that does not fit: preempts others, or else takes slow endpoints.
     fn place_urgent(
         &mut self,
         id: &Arc<str>,
@@ -361,18 +341,11 @@
         cache: &mut RoundCache,
         rank: &Rank,
         now: u64,
-    ) -> bool {
-        let mut demand = self.demand(views, id, position, rank, now);
-        demand.min_speed = rank.least_speed(self.typical_log_speed.exp(), now);
-        if demand.min_speed < views.slow_below()
-            && let Some(chosen) = place::place(views, &demand)
-        {
-            self.start_unit(id, position, views, &chosen, now);
-            return true;
-        }
+    ) {
         if now < self.claims_due {
-            return false;
+            return;
         }
+        let mut demand = self.demand(views, id, position, rank, now);
         demand.min_speed = views.slow_below();
         let guarantee_due = self.guarantee_is_due(id, now)
             && cache
@@ -397,11 +370,9 @@
         }
         if let Some(plan) = plan {
             self.preempt(id, position, views, plan, cache, now);
-            return false;
+        } else if let Some(chosen) = slow {
+            self.start_unit(id, position, views, &chosen, now);
         }
-        let Some(chosen) = slow else { return false };
-        self.start_unit(id, position, views, &chosen, now);
-        true
     }
 
     /// Requirements of a unit on its endpoints.
@@ -472,10 +443,6 @@
         let ends_at = now.saturating_add(expected_ms);
         job.set_state(position, UnitState::Active);
         let unit = &mut job.units[position];
-        if unit.size > 1 && unit.given_up_why == PREEMPTED {
-            let wait_ms = now.saturating_sub(unit.given_up_at);
-            self.restart_waits.add(&job.submission.queue, wait_ms);
-        }
         let tickets = job.tickets.get(&(unit.occurrence, unit.step));
         unit.next_run();
         unit.placed_at = now;
--- a/src/dispatch/unit.rs
+++ b/src/dispatch/unit.rs
@@ -180,11 +180,6 @@
         self.last_run_failed = true;
     }
 
-    /// Number of runs that were given up without having failed.
-    pub(super) fn stops(&self) -> u32 {
-        self.run.saturating_sub(1 + self.failures)
-    }
-
     /// Whether all members are known to be gone.
     pub fn all_gone(&self) -> bool {
         self.members.iter().all(|member| !member.holds_room())
--- a/src/dispatch/victim_table.rs
+++ b/src/dispatch/victim_table.rs
@@ -16,7 +16,7 @@
 pub(super) struct Victim {
     /// Job and position of the unit.
     pub unit: (Arc<str>, usize),
-    /// What callers would lose, in core-seconds.
+    /// Work that would be lost, in core-seconds.
     pub cost: f64,
     /// Resources that its stop frees, by endpoint index.
     pub rooms: BTreeMap<usize, Resources>,
@@ -97,7 +97,7 @@
         &self.victims[index]
     }
 
-    /// What callers would lose with the given units, in core-seconds.
+    /// Work that would be lost with the given units, in core-seconds.
     pub fn cost(&self, victims: &BTreeSet<usize>) -> f64 {
         victims.iter().map(|index| self.victims[*index].cost).sum()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,4 +34,3 @@
 pub mod ticket;
 pub mod time;
 pub mod trace;
-pub mod victims;
