--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -11,7 +11,6 @@
 mod kind_case;
 mod lasting_case;
 mod lost;
-mod pending_case;
 mod random;
 mod record;
 mod site;
@@ -68,7 +67,6 @@
 fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
     match case {
         "advice" => advice_case::run(record, trouble),
-        "pending" => pending_case::run(record, trouble),
         "hand-over" => hand_over_case::run(record, trouble),
         "kind" => kind_case::run(record, trouble),
         "lasting" => lasting_case::run(record, trouble),
--- a/review/rig-2/site.rs
+++ b/review/rig-2/site.rs
@@ -273,16 +273,6 @@
         Ok(())
     }
 
-    /// Asks one instance for the number of pending jobs; `None` without an answer of success.
-    pub fn pending(&self, instance: usize) -> Option<u64> {
-        let headers = [("host", HOST), ("x-key", KEY), ("x-deadline-ms", "3000")];
-        let front = instances()[instance].front.clone();
-        let (status, body) = call(&front, "GET", "/work/", &headers, "", Duration::from_millis(3_000))?;
-        self.record
-            .write("client", &format!("GET /work/ at edge-{instance} -> {status} {body}"));
-        Json::parse(&body).filter(|_| status == 200)?.get("pending").number()
-    }
-
     /// Copies the logs of the instances to a folder.
     pub fn keep_logs(&self, to: &str) {
         for entry in fs::read_dir(&self.folder).into_iter().flatten().flatten() {
--- a/review/rig-2/workers.rs
+++ b/review/rig-2/workers.rs
@@ -69,8 +69,6 @@
     next_end: u64,
     /// Highest run of each task that was stopped or has ended.
     finished: BTreeMap<String, u64>,
-    /// Until then it neither carries out nor answers requests.
-    hangs_until: u64,
 }
 
 /// A ticket of the advice service.
@@ -123,7 +121,6 @@
                 ended: Vec::new(),
                 next_end: 1,
                 finished: BTreeMap::new(),
-                hangs_until: 0,
             }));
             listeners.push(listener);
         }
@@ -169,13 +166,6 @@
         self.capacity
     }
 
-    /// Makes a worker hang for some time: requests that reach it meanwhile are not carried out, and never answered.
-    pub fn hang(&self, index: usize, for_ms: u64) {
-        self.workers[index].lock().unwrap().hangs_until = self.now() + for_ms;
-        self.record
-            .write(&format!("i-{index:04}"), &format!("hangs for {for_ms} ms"));
-    }
-
     /// Cuts a worker off from the store, so that its entry there stays as it is, or ends the cut.
     pub fn cut_off(&self, index: usize, cut_off: bool) {
         self.workers[index].lock().unwrap().cut_off = cut_off;
@@ -354,11 +344,6 @@
         if meant_for.is_some_and(|id| *id != self.workers[index].lock().unwrap().id) {
             return Some((421, "{}".to_owned()));
         }
-        let hangs_until = self.workers[index].lock().unwrap().hangs_until;
-        if self.now() < hangs_until {
-            thread::sleep(Duration::from_millis(hangs_until - self.now()));
-            return None;
-        }
         match request.path() {
             "/yuccaridge/run-start" => Some(self.start_run(index, &body)),
             "/yuccaridge/run-stop" => Some(self.stop_run(index, &body)),
