--- a/review/rig-2/advice_case.rs
+++ b/review/rig-2/advice_case.rs
@@ -57,7 +57,7 @@
                 let body = format!(
                     "{{\"spec\":\"{id}\",\"steps\":[{{\"count\":1,\"cpu\":1000,\"mem_mb\":1024,\"gpu\":1,\"est_ms\":{WORK_MS}}}]}}"
                 );
-                site.request("POST", &format!("/work/{id}"), &body);
+                site.request("POST", &format!("/queue/{id}"), &body);
             });
             let in_burst = (BURST_FROM_MS..BURST_FROM_MS + BURST_MS).contains(&(next as u64));
             next += INTERVAL_MS as f64 / if trouble && in_burst { BURST_FACTOR } else { 1.0 };
@@ -69,7 +69,7 @@
     sleep(Duration::from_millis(FINISH_MS));
     let mut open = Vec::new();
     for id in &jobs {
-        match site.request("GET", &format!("/work/{id}"), "") {
+        match site.request("GET", &format!("/queue/{id}"), "") {
             Some((200, body)) if body.contains("done") => {}
             Some((200, _)) => open.push(id.clone()),
             answer => return Err(format!("{id} is answered with {answer:?}")),
--- a/review/rig-2/hand_over_case.rs
+++ b/review/rig-2/hand_over_case.rs
@@ -47,7 +47,7 @@
         let body = format!(
             "{{\"spec\":\"{id}\",\"steps\":[{{\"count\":1,\"cpu\":1000,\"mem_mb\":1024,\"gpu\":{GPUS},\"est_ms\":{WORK_MS}}}]}}"
         );
-        match site.request("POST", &format!("/work/{id}"), &body) {
+        match site.request("POST", &format!("/queue/{id}"), &body) {
             Some((200, _)) => jobs.push(id),
             answer => return Err(format!("{id} is answered with {answer:?}")),
         }
@@ -65,7 +65,7 @@
     at(TRAFFIC_MS + FINISH_MS);
     let mut open = Vec::new();
     for id in &jobs {
-        match site.request("GET", &format!("/work/{id}"), "") {
+        match site.request("GET", &format!("/queue/{id}"), "") {
             Some((200, body)) if body.contains("done") => {}
             Some((200, _)) => open.push(id.clone()),
             answer => return Err(format!("{id} is answered with {answer:?}")),
--- a/review/rig-2/kind_case.rs
+++ b/review/rig-2/kind_case.rs
@@ -59,7 +59,7 @@
                 "{{\"spec\":\"{id}\",\"steps\":[{{\"count\":1,\"cpu\":1000,\"mem_mb\":1024,\"gpu\":{GPUS},\"est_ms\":{WORK_MS},\"requires\":\"a\"}}]}}"
             );
             let site = &site;
-            scope.spawn(move || site.request("POST", &format!("/work/{id}"), &body));
+            scope.spawn(move || site.request("POST", &format!("/queue/{id}"), &body));
         }
         disruption.and_then(|disruption| disruption.join().ok())
     });
--- a/review/rig-2/lasting_case.rs
+++ b/review/rig-2/lasting_case.rs
@@ -46,7 +46,7 @@
         let body = format!(
             "{{\"spec\":\"{id}\",\"steps\":[{{\"count\":{TASKS},\"cpu\":1000,\"mem_mb\":1024,\"gpu\":1,\"est_ms\":60000,\"long_running\":true}}]}}"
         );
-        match site.request("POST", &format!("/work/{id}"), &body) {
+        match site.request("POST", &format!("/queue/{id}"), &body) {
             Some((200, _)) => {}
             answer => return Err(format!("{id} is answered with {answer:?}")),
         }
--- a/review/rig-2/site.rs
+++ b/review/rig-2/site.rs
@@ -81,12 +81,12 @@
         }
     }
 
-    /// Writes a configuration with one queue of the service `pool` at `/work/`.
+    /// Writes a configuration with one queue of the service `pool` at `/queue/`.
     pub fn configure(&self, advice: Option<Json>) {
         let mut route = vec![
             ("name", "work".into()),
             ("host", HOST.into()),
-            ("prefix", "/work/".into()),
+            ("prefix", "/queue/".into()),
             ("kind", "mutating".into()),
             ("timeout_ms", 3_000.into()),
             ("slo_ms", 3_000.into()),
--- a/review/rig-2/suspension_case.rs
+++ b/review/rig-2/suspension_case.rs
@@ -54,7 +54,7 @@
             );
             let site = &site;
             clients.push(scope.spawn(move || {
-                let answer = site.request("POST", &format!("/work/{id}"), &body);
+                let answer = site.request("POST", &format!("/queue/{id}"), &body);
                 matches!(answer, Some((200, _))).then_some(id)
             }));
         }
@@ -68,7 +68,7 @@
     let mut broken = Vec::new();
     for id in &accepted {
         // Five attempts, at all instances in turn.
-        if !matches!(site.request("GET", &format!("/work/{id}"), ""), Some((200, _))) {
+        if !matches!(site.request("GET", &format!("/queue/{id}"), ""), Some((200, _))) {
             broken.push(format!(
                 "{id} was accepted; {FINISH_MS} ms after the end of the traffic no instance tells its state"
             ));
