Measure requests for advice, and count answers that start nothing

A queue with advice that stands still looked alike in the log whether the service was slow, did not answer, or answered in vain: `advice received` had no time, and nothing was counted. The line now has the time of the call and the validity, a line says that a step is asked for again although tickets were received, and metrics hold the time of calls, failures, unused answers and starts refused for their ticket. No decision changes.

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::place::Demand;
 use super::pool_view::PoolView;
@@ -40,7 +41,12 @@
         }
         tickets.in_flight = true;
         self.advice_in_flight += 1;
-        let step = Arc::from(format!("{id}.{}.{}", step_key.0, step_key.1));
+        let step: Arc<str> = Arc::from(format!("{id}.{}.{}", step_key.0, step_key.1));
+        if tickets.unused_answers > 0 {
+            self.counts.advice_unused += 1;
+            let unused_answers = tickets.unused_answers;
+            log::info!(step:%, unused_answers, named = endpoints.len(); "requesting advice again; no task has started with the tickets received");
+        }
         // The service may have to answer all other requests before this one.
         let each_ms = terms
             .decide_ms
@@ -67,15 +73,20 @@
         };
         let tickets = job.tickets.entry(request.step_key).or_default();
         tickets.in_flight = false;
+        let took_ms = now.saturating_sub(request.decided_at);
         let advice = match answer {
             Ok(advice) => advice,
             Err(error) => {
-                log::warn!(step:% = request.step, error:% = error; "advice request failed");
+                self.counts.advice_failed += 1;
+                log::warn!(step:% = request.step, took_ms, error:% = error; "advice request failed");
                 tickets.next_request_at = now + RETRY_PAUSE_MS;
                 return;
             }
         };
-        log::info!(step:% = request.step, named = request.endpoints.len(), allowed = advice.allowed.len(); "advice received");
+        self.counts.advice_times.push(Duration::from_millis(took_ms));
+        tickets.unused_answers += u32::from(!advice.allowed.is_empty());
+        let (named, allowed) = (request.endpoints.len(), advice.allowed.len());
+        log::info!(step:% = request.step, named, allowed, took_ms, valid_ms = request.valid_ms; "advice received");
         // The tickets became valid after the request was sent, so this end is on the safe side.
         let until = request.decided_at.saturating_add(request.valid_ms);
         let mut allowed: BTreeMap<Arc<str>, Arc<str>> = advice.allowed.into_iter().collect();
@@ -92,6 +103,7 @@
         if refusal != Refusal::Ticket {
             return;
         }
+        self.counts.tickets_refused += 1;
         let Some(job) = self.jobs.get_mut(id) else { return };
         let unit = &job.units[position];
         let step_key = (unit.occurrence, unit.step);
--- a/src/dispatch/advice_tickets.rs
+++ b/src/dispatch/advice_tickets.rs
@@ -22,6 +22,8 @@
     pub in_flight: bool,
     /// Earliest time of the next request, in milliseconds.
     pub next_request_at: u64,
+    /// Number of answers with tickets since a task of the step last started.
+    pub unused_answers: u32,
 }
 
 impl AdviceTickets {
--- a/src/dispatch/counts.rs
+++ b/src/dispatch/counts.rs
@@ -1,6 +1,7 @@
 //! Counts of starts and ends for the metrics.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Numbers of started units and ended runs.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -13,6 +14,14 @@
     pub repeated_stops: u64,
     /// Claims that were dropped because they could not be met in time.
     pub claims_dropped: u64,
+    /// Times from requests for advice to their answers.
+    pub advice_times: Vec<Duration>,
+    /// Requests for advice that failed or had no answer in time.
+    pub advice_failed: u64,
+    /// Answers with tickets after which advice on the step was requested again before any of its tasks started.
+    pub advice_unused: u64,
+    /// Starts that endpoints refused because of their ticket.
+    pub tickets_refused: u64,
     /// Runs that ended: `done`, or by the reason for which they were stopped.
     pub ends: BTreeMap<String, u64>,
     /// Ends `done` that matched no expected run, by the reason.
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -469,7 +469,10 @@
         let ends_at = now.saturating_add(expected_ms);
         job.set_state(position, UnitState::Active);
         let unit = &mut job.units[position];
-        let tickets = job.tickets.get(&(unit.occurrence, unit.step));
+        let mut tickets = job.tickets.get_mut(&(unit.occurrence, unit.step));
+        if let Some(tickets) = &mut tickets {
+            tickets.unused_answers = 0;
+        }
         unit.next_run();
         unit.placed_at = now;
         unit.members.clear();
@@ -491,7 +494,9 @@
             let (name, born) = (Arc::clone(&view.name), endpoint.entry.born);
             let member = Member::new(index as u32, name, born, Arc::clone(&task), MemberState::Planned, now);
             unit.members.push(member);
-            let ticket = tickets.and_then(|tickets| tickets.valid_ticket(&view.name, endpoint.entry.born, now));
+            let ticket = tickets
+                .as_ref()
+                .and_then(|tickets| tickets.valid_ticket(&view.name, endpoint.entry.born, now));
             self.starts.push(Start {
                 ticket: ticket.cloned().unwrap_or_else(|| Arc::from("")),
                 job: Arc::clone(id),
--- a/src/lead/leader.rs
+++ b/src/lead/leader.rs
@@ -310,6 +310,12 @@
     metrics.claims.inc_by(counts.claims_made);
     metrics.claims_dropped.inc_by(counts.claims_dropped);
     metrics.repeated_stops.inc_by(counts.repeated_stops);
+    metrics.advice_failed.inc_by(counts.advice_failed);
+    metrics.advice_unused.inc_by(counts.advice_unused);
+    metrics.tickets_refused.inc_by(counts.tickets_refused);
+    for time in counts.advice_times {
+        metrics.record_advice(time);
+    }
     for (reason, count) in counts.ends {
         metrics.count_run_ends(&reason, count);
     }
--- a/src/metric/instance.rs
+++ b/src/metric/instance.rs
@@ -66,6 +66,13 @@
     pub claims_dropped: Counter,
     /// Units that were stopped for an urgent one and had been given up before.
     pub repeated_stops: Counter,
+    /// Requests for advice that failed or had no answer in time.
+    pub advice_failed: Counter,
+    /// Answers with tickets that started no task before advice was requested again.
+    pub advice_unused: Counter,
+    /// Starts that endpoints refused because of their ticket.
+    pub tickets_refused: Counter,
+    advice_time: Histogram,
     /// Jobs that are queued.
     pub jobs_waiting: Gauge,
     /// Jobs that are running.
@@ -111,6 +118,11 @@
             claims: Counter::default(),
             claims_dropped: Counter::default(),
             repeated_stops: Counter::default(),
+            advice_failed: Counter::default(),
+            advice_unused: Counter::default(),
+            tickets_refused: Counter::default(),
+            // Buckets from 10 ms to 82 s: the service may have 32 calls before this one, each of a second or more.
+            advice_time: Histogram::new(exponential_buckets(0.01, 2.0, 14)),
             jobs_waiting: Gauge::default(),
             jobs_running: Gauge::default(),
             endpoints_open: Gauge::default(),
@@ -172,6 +184,7 @@
             "Units stopped for an urgent one that had been given up before",
             metrics.repeated_stops.clone(),
         );
+        metrics.register_advice();
         metrics.register_work();
         let registry = &mut metrics.registry;
         registry.register(
@@ -207,6 +220,32 @@
         );
     }
 
+    /// Registers the metrics of requests to the advice service.
+    fn register_advice(&mut self) {
+        let registry = &mut self.registry;
+        registry.register_with_unit(
+            "advice_time",
+            "Time from a request for advice to its answer",
+            Unit::Seconds,
+            self.advice_time.clone(),
+        );
+        registry.register(
+            "advice_failed",
+            "Requests for advice without a usable answer",
+            self.advice_failed.clone(),
+        );
+        registry.register(
+            "advice_unused",
+            "Answers with tickets that started no task before advice was requested again",
+            self.advice_unused.clone(),
+        );
+        registry.register(
+            "tickets_refused",
+            "Starts that endpoints refused because of their ticket",
+            self.tickets_refused.clone(),
+        );
+    }
+
     /// Registers the gauges of what the leader has under way.
     fn register_work(&mut self) {
         let registry = &mut self.registry;
@@ -273,6 +312,11 @@
         self.job_read_delay.observe(delay.as_secs_f64());
     }
 
+    /// Records how long the advice service took to answer.
+    pub fn record_advice(&self, time: Duration) {
+        self.advice_time.observe(time.as_secs_f64());
+    }
+
     /// Counts `count` ends of runs with the same reason.
     pub fn count_run_ends(&self, reason: &str, count: u64) {
         let reason = reason.to_owned();
--- a/tests/dispatch/advice.rs
+++ b/tests/dispatch/advice.rs
@@ -123,3 +123,26 @@
 
     assert_eq!((early_requests, world.advice_requests.len()), (1, 2));
 }
+
+/// Guards against a loop of requests whose answers nobody uses that looks like a slow service to operators.
+#[test]
+fn answers_that_start_nothing_are_counted() {
+    let mut world = World::new(1);
+    world.submit("job", "advised", vec![step(1, 8, 1_000)]);
+    world.advance(50);
+    let request = world.advice_requests[0].clone();
+    world.submit("other", "normal", vec![step(1, 8, 1_000)]);
+    let other = world.advance_to_start();
+    allow(&mut world, &request, &["e0"]);
+
+    world.advance(4_000);
+    world.report("e0", &[], &[(1, &other[0].task, 1, Outcome::Done)]);
+    world.advance(100);
+    let second = world.advice_requests[1].clone();
+    allow(&mut world, &second, &["e0"]);
+    let starts = world.advance(100);
+    let counts = world.dispatcher.take_counts();
+
+    assert_eq!((&*starts[0].job, world.advice_requests.len()), ("job", 2));
+    assert_eq!((counts.advice_unused, counts.advice_times.len()), (1, 2));
+}
