Count the validity of advice tickets from the answer

Cause: the end of a ticket's validity was the time at which the request was decided, plus `valid_ms`. The service handles the calls of an instance in turn, and up to four are sent at once, so the last one waits for three others. With calls of 1 s and a validity of 3 s, less 0.3 s of margin, the tickets of the third and fourth counted as expired on arrival; their steps were asked for again, behind three others, so the queue never came out of it.

Why it works: a ticket is issued with the answer, so its age begins there, however long the call has waited. What the answer takes on its way is covered by the margin of 300 ms; beyond that an endpoint refuses the start and the ticket is renewed. Ruled out: a slow service (it answered at its rate), refused tickets (there was none).

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -87,8 +87,9 @@
         tickets.unused_answers += u32::from(!advice.allowed.is_empty());
         let (named, allowed) = (request.endpoints.len(), advice.allowed.len());
         log::info!(step:% = request.step, named, allowed, took_ms, valid_ms = request.valid_ms; "advice received");
-        // The tickets became valid after the request was sent, so this end is on the safe side.
-        let until = request.decided_at.saturating_add(request.valid_ms);
+        // The service issues tickets when it answers. A request may wait for others before its turn, so its own age says
+        // nothing about them. What the answer takes on its way is covered by the margin of a placement.
+        let until = now.saturating_add(request.valid_ms);
         let mut allowed: BTreeMap<Arc<str>, Arc<str>> = advice.allowed.into_iter().collect();
         for name in &request.endpoints {
             let Some(endpoint) = self.endpoints.get(name) else {
--- /dev/null
+++ b/tests/dispatch/advice_bursts.rs
@@ -0,0 +1,116 @@
+//! Bursts of jobs on queues with advice, against a service that takes time and handles calls in turn.
+
+use yuccaridge::port::AdviceTerms;
+
+use crate::advice_service::Behavior;
+use crate::advised_site::AdvisedSite;
+use crate::world::{gang, step};
+
+/// Time from an answer to the next call and from a ticket to a start, for each job of a burst, in milliseconds.
+const TURN_MS: u64 = 50;
+
+/// Work of a task, in milliseconds.
+const WORK_MS: u64 = 2_000;
+
+fn terms(decide_ms: u64, period_ms: u64, valid_ms: u64) -> AdviceTerms {
+    AdviceTerms {
+        decide_ms,
+        period_ms,
+        valid_ms,
+    }
+}
+
+/// Submits jobs with one small task each at once.
+fn submit_burst(site: &mut AdvisedSite, queue: &'static str, jobs: usize) {
+    for index in 0..jobs {
+        site.submit(&format!("{queue}-{index}"), queue, step(1, 1, WORK_MS));
+    }
+}
+
+/// Checks that all jobs are done within `calls_ms`, the time that the service needs for the calls, and that of a task.
+fn assert_worked_off(site: &mut AdvisedSite, calls_ms: u64) {
+    let limit_ms = calls_ms + WORK_MS + TURN_MS * (site.jobs() as u64 + 1);
+    let took = site.advance_until_done(limit_ms);
+
+    let (unused, handled) = (site.unused_answers(), site.service.handled);
+    assert!(
+        took.is_some(),
+        "{:?} not done after {limit_ms} ms; first starts after {:?} ms; {unused} of {handled} answers unused",
+        site.unfinished(),
+        site.waits(),
+    );
+    assert_eq!(site.violations, Vec::<String>::new());
+}
+
+/// Guards against jobs that never start after a burst: their tickets counted as expired on arrival, since the time that a
+/// call waited for others was taken off their validity.
+#[test]
+fn a_burst_is_worked_off_at_the_rate_of_the_advice_service() {
+    // A call on 30 endpoints takes a third of the validity.
+    let mut site = AdvisedSite::new(30, &[terms(400, 20, 3_000)]);
+
+    submit_burst(&mut site, "advised", 12);
+
+    assert_worked_off(&mut site, 12 * 1_000);
+}
+
+/// Guards against the same where a call takes nearly all of the validity.
+#[test]
+fn tickets_of_calls_that_take_nearly_as_long_as_they_are_valid_are_used() {
+    let mut site = AdvisedSite::new(30, &[terms(400, 80, 3_000)]);
+
+    submit_burst(&mut site, "advised", 6);
+
+    assert_worked_off(&mut site, 6 * 2_800);
+}
+
+/// Guards against the same where a call takes longer than the validity.
+#[test]
+fn tickets_of_calls_that_take_longer_than_they_are_valid_are_used() {
+    let mut site = AdvisedSite::new(30, &[terms(400, 120, 3_000)]);
+
+    submit_burst(&mut site, "advised", 4);
+
+    assert_worked_off(&mut site, 4 * 4_000);
+}
+
+/// Guards against calls that are given up because those of another queue before them take long.
+#[test]
+fn queues_with_short_and_long_calls_share_the_advice_service() {
+    let mut site = AdvisedSite::new(30, &[terms(20, 1, 3_000), terms(1_000, 60, 3_000)]);
+
+    submit_burst(&mut site, "advised-too", 6);
+    site.advance(500);
+    submit_burst(&mut site, "advised", 6);
+
+    assert_worked_off(&mut site, 6 * 50 + 6 * 2_800);
+}
+
+/// Guards against jobs that wait beside an idle service after it rejected or ignored calls.
+#[test]
+fn jobs_start_soon_after_the_advice_service_recovers() {
+    for behavior in [Behavior::Rejecting, Behavior::Silent] {
+        let mut site = AdvisedSite::new(30, &[terms(400, 20, 3_000)]);
+        site.service.behavior = behavior;
+        submit_burst(&mut site, "advised", 4);
+        site.advance(5_000);
+
+        site.service.behavior = Behavior::Serving(1);
+
+        // The calls under way when the service recovers are lost, and count as such after some time.
+        assert_worked_off(&mut site, 4 * 1_000 + 5_000);
+    }
+}
+
+/// Guards against a gang that never has enough valid tickets at the same time, because it needs more than one call.
+#[test]
+fn a_gang_that_needs_more_endpoints_than_a_call_names_starts() {
+    for period_ms in [20, 60, 85] {
+        let mut site = AdvisedSite::new(60, &[terms(400, period_ms, 3_000)]);
+        site.submit("gang", "advised", gang(32, 8, WORK_MS));
+        submit_burst(&mut site, "advised", 4);
+
+        // At most 60 endpoints in two calls, and those found to be allowed once more.
+        assert_worked_off(&mut site, 7 * (400 + 30 * period_ms) + 100 * period_ms + 400);
+    }
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the dispatcher with simulated endpoints and virtual time.
 
 mod advice;
+mod advice_bursts;
+mod advice_service;
+mod advised_site;
 mod alike;
 mod busy;
 mod checker;
