Use the answers of late calls for advice instead of giving them up

What callers would see: no job of a queue with advice starts, for good, once the service is slower than its terms or handles calls of a former leader of the same instance.

Cause: a call was given up after four times the time of one call plus 1 s. The service goes on with it, so its answer is lost, and the next calls wait behind it and are given up in turn. Four calls at once also let a step wait for calls sent before it was known.

Change: a call that takes long only counts as late. Others may be sent beside it, steps without an unanswered call first, and its answer is used when it comes. At most two calls are not late: one that the service handles, one that waits. Each late call doubles the patience with the next ones; an answer to a later call shows that those before it are lost, since the service goes by turns.

Evidence: `answers_of_a_slow_advice_service_are_used` (six times slower) on the code before: 'not done after 38350 ms; first starts after [None, None, None, None, None, None] ms; 6 of 6 answers unused'. `calls_of_a_former_leader_delay_the_next_one_only_once` (four takeovers in 2.4 s): 'not done after 46450 ms; first starts after [None, ...] ms; 48 of 48 answers unused'. Both pass now; 183 tests of the dispatcher pass.

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -8,17 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::place::Demand;
-use super::pool_view::PoolView;
+use super::advice_candidate::AdviceCandidate;
 use super::{AdviceRequest, Dispatcher, Effect};
 use crate::port::{Advice, OrderError, Refusal};
 
-/// Most endpoints that a request names. Users include one request for 30 endpoints in the expected time of a step.
-const ENDPOINTS_PER_REQUEST_MAX: usize = 30;
-
-/// Most unanswered requests at the same time. The service queues them, and declines at 32 from all instances together.
-const REQUESTS_IN_FLIGHT_MAX: usize = 4;
-
 /// How long a ticket must remain valid after a placement, in milliseconds; covers the delivery of the start order.
 pub(super) const TICKET_MARGIN_MS: u64 = 300;
 
@@ -26,53 +19,74 @@
 const RETRY_PAUSE_MS: u64 = 500;
 
 impl Dispatcher {
-    /// Requests advice on `endpoints` for a step, unless a request for it is unanswered or has just failed.
-    pub(super) fn request_advice(&mut self, id: &Arc<str>, step_key: (u32, usize), endpoints: Vec<Arc<str>>, now: u64) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+    /// Requests advice for as many of these steps as calls may be sent, those without an unanswered call first.
+    pub(super) fn request_advice(&mut self, mut candidates: Vec<AdviceCandidate>, now: u64) {
+        candidates.sort_by_key(|candidate| candidate.order);
+        for candidate in candidates {
+            if !self.advice_calls.may_send(now) {
+                break;
+            }
+            self.send_advice_request(candidate, now);
+        }
+    }
+
+    /// Whether advice on a step may be requested now: its last call has an answer or is late, and has not just failed.
+    pub(super) fn may_request_advice(&self, id: &str, step_key: (u32, usize), now: u64) -> bool {
+        let tickets = self.jobs.get(id).and_then(|job| job.tickets.get(&step_key));
+        self.advice_calls.may_send(now)
+            && tickets.is_none_or(|tickets| {
+                tickets.next_request_at <= now
+                    && !tickets.call.is_some_and(|call| self.advice_calls.is_on_time(call, now))
+            })
+    }
+
+    fn send_advice_request(&mut self, candidate: AdviceCandidate, now: u64) {
+        let AdviceCandidate {
+            job: id,
+            step_key,
+            endpoints,
+            ..
+        } = candidate;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(terms) = job.queue.as_ref().and_then(|queue| queue.advice) else {
             return;
         };
-        if endpoints.is_empty() || self.advice_in_flight >= REQUESTS_IN_FLIGHT_MAX {
-            return;
-        }
         let tickets = job.tickets.entry(step_key).or_default();
-        if tickets.in_flight || tickets.next_request_at > now {
-            return;
-        }
-        tickets.in_flight = true;
-        self.advice_in_flight += 1;
+        let periods_ms = terms.period_ms.saturating_mul(endpoints.len() as u64);
+        let call = self.advice_calls.send(terms.decide_ms.saturating_add(periods_ms), now);
+        tickets.call = Some(call.number);
         let step: Arc<str> = Arc::from(format!("{id}.{}.{}", step_key.0, step_key.1));
         if tickets.unused_answers > 0 {
             self.counts.advice_unused += 1;
             let unused_answers = tickets.unused_answers;
             log::info!(step:%, unused_answers, named = endpoints.len(); "requesting advice again; no task has started with the tickets received");
         }
-        // The service may have to answer all other requests before this one.
-        let each_ms = terms
-            .decide_ms
-            .saturating_add(terms.period_ms.saturating_mul(ENDPOINTS_PER_REQUEST_MAX as u64));
         self.effects.push(Effect::AdviceRequest(AdviceRequest {
-            job: Arc::clone(id),
+            job: id,
             step_key,
             step,
             endpoints,
             valid_ms: terms.valid_ms,
-            timeout_ms: each_ms
-                .saturating_mul(REQUESTS_IN_FLIGHT_MAX as u64)
-                .saturating_add(1_000),
+            timeout_ms: call.lost_at.saturating_sub(now),
+            call: call.number,
             decided_at: now,
         }));
     }
 
     /// Applies the answer to a request.
     pub fn advised(&mut self, request: &AdviceRequest, answer: Result<Advice, OrderError>, now: u64) {
-        self.advice_in_flight = self.advice_in_flight.saturating_sub(1);
+        match &answer {
+            Ok(_) => self.advice_calls.answered(request.call, now),
+            Err(_) => self.advice_calls.failed(request.call),
+        }
         self.changed = true;
         let Some(job) = self.jobs.get_mut(&request.job) else {
             return;
         };
         let tickets = job.tickets.entry(request.step_key).or_default();
-        tickets.in_flight = false;
+        if tickets.call == Some(request.call) {
+            tickets.call = None;
+        }
         let took_ms = now.saturating_sub(request.decided_at);
         let advice = match answer {
             Ok(advice) => advice,
@@ -113,26 +127,3 @@
         }
     }
 }
-
-/// Endpoints to name in a request. Those with free resources for a task come first, and expired tickets are renewed
-/// only there; endpoints that were refused or have a valid ticket are left out.
-pub(super) fn endpoints_to_ask(views: &PoolView, demand: &Demand<'_>) -> Vec<Arc<str>> {
-    let tickets = demand.permit.tickets();
-    let mut ranked = Vec::new();
-    for view in views.iter() {
-        if tickets.is_some_and(|tickets| tickets.is_refused(&view.name)) || demand.permit.allows(view) {
-            continue;
-        }
-        if demand.fitting_tasks(view, &view.capacity) == 0 {
-            continue;
-        }
-        let full = demand.fitting_tasks(view, &view.available()) == 0;
-        if full && tickets.is_some_and(|tickets| tickets.is_allowed(&view.name)) {
-            continue;
-        }
-        ranked.push((full, Arc::clone(&view.name)));
-    }
-    ranked.sort_by_key(|(full, _)| *full);
-    ranked.truncate(ENDPOINTS_PER_REQUEST_MAX);
-    ranked.into_iter().map(|(_, name)| name).collect()
-}
--- /dev/null
+++ b/src/dispatch/advice_calls.rs
@@ -0,0 +1,101 @@
+//! Calls to the advice service that have no answer yet.
+//!
+//! The service handles the calls of an instance in turn and goes on with those that the instance has given up. Giving up a
+//! call therefore wastes its answer and holds up the next one. A call that takes long is only set aside as late: others
+//! may be sent beside it, and its answer is used whenever it comes. Nobody knows whether the answer to a late call was
+//! lost or the service is slow, so each late call doubles the time after which the next ones count as late. An answer to a
+//! later call shows that the answers to those before it are lost or about to arrive.
+
+use std::collections::BTreeMap;
+
+/// Most calls that are not late: one that the service handles, and one that waits, so that the service is not idle until
+/// the next one arrives. With more of them, the most urgent step would wait for calls sent before it was known.
+const ON_TIME_MAX: usize = 2;
+
+/// Ratio of the time after which a call counts as late to the time that the service needs for it and those before it.
+const LATE_RATIO: u64 = 2;
+
+/// Time for the way of a call and its answer, in milliseconds.
+const TRANSIT_MS: u64 = 1_000;
+
+/// Most calls that wait at the service, by the platform; it rejects further ones.
+const WAITING_MAX: u64 = 32;
+
+/// Least time after which the answer to a call counts as lost, in milliseconds. Bounds the connections of late calls.
+const LOST_MIN_MS: u64 = 60_000;
+
+/// Most doublings of the time after which a call counts as late.
+const DOUBLINGS_MAX: usize = 5;
+
+/// A call without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct AdviceCall {
+    /// Number of the call.
+    pub number: u64,
+    /// Time that the service needs for it, in milliseconds.
+    cost_ms: u64,
+    /// Time from which others may be sent in its place, in milliseconds.
+    late_at: u64,
+    /// Time at which its answer counts as lost, in milliseconds.
+    pub lost_at: u64,
+}
+
+/// All calls without an answer.
+#[derive(Debug, Default)]
+pub(super) struct AdviceCalls {
+    calls: BTreeMap<u64, AdviceCall>,
+    last_number: u64,
+}
+
+impl AdviceCalls {
+    /// Whether another call may be sent.
+    pub fn may_send(&self, now: u64) -> bool {
+        self.on_time(now).count() < ON_TIME_MAX
+    }
+
+    /// Notes that a call is sent for which the service needs `cost_ms`.
+    pub fn send(&mut self, cost_ms: u64, now: u64) -> AdviceCall {
+        self.calls.retain(|_, call| now < call.lost_at);
+        let late = self.calls.len() - self.on_time(now).count();
+        let before_ms = self.on_time(now).map(|call| call.cost_ms).fold(0, u64::saturating_add);
+        let ratio = LATE_RATIO << late.min(DOUBLINGS_MAX);
+        let late_ms = before_ms
+            .saturating_add(cost_ms)
+            .saturating_mul(ratio)
+            .saturating_add(TRANSIT_MS);
+        let longest_ms = self.calls.values().map(|call| call.cost_ms).fold(cost_ms, u64::max);
+        let lost_ms = longest_ms.saturating_mul(WAITING_MAX + 1).max(LOST_MIN_MS);
+        self.last_number += 1;
+        let call = AdviceCall {
+            number: self.last_number,
+            cost_ms,
+            late_at: now.saturating_add(late_ms),
+            lost_at: now.saturating_add(lost_ms),
+        };
+        self.calls.insert(call.number, call);
+        call
+    }
+
+    /// Whether the answer to a call is expected and not late yet.
+    pub fn is_on_time(&self, number: u64, now: u64) -> bool {
+        self.calls.get(&number).is_some_and(|call| now < call.late_at)
+    }
+
+    /// Notes that a call has an answer.
+    pub fn answered(&mut self, number: u64, now: u64) {
+        self.calls.remove(&number);
+        for call in self.calls.range_mut(..number).map(|(_, call)| call) {
+            call.late_at = call.late_at.min(now + TRANSIT_MS);
+            call.lost_at = call.lost_at.min(now + TRANSIT_MS);
+        }
+    }
+
+    /// Notes that a call has failed.
+    pub fn failed(&mut self, number: u64) {
+        self.calls.remove(&number);
+    }
+
+    fn on_time(&self, now: u64) -> impl Iterator<Item = &AdviceCall> {
+        self.calls.values().filter(move |call| now < call.late_at)
+    }
+}
--- /dev/null
+++ b/src/dispatch/advice_candidate.rs
@@ -0,0 +1,70 @@
+//! Steps for which advice is wanted.
+
+use std::sync::Arc;
+
+use super::place::Demand;
+use super::pool_view::PoolView;
+use super::rank::Rank;
+
+/// Most endpoints that a request names. Users include one request for 30 endpoints in the expected time of a step.
+const ENDPOINTS_PER_REQUEST_MAX: usize = 30;
+
+/// Order in which steps are asked for: those without an unanswered call first, since their answers may still come; then by
+/// the rank of their jobs.
+pub(super) type AdviceOrder = (bool, Rank);
+
+/// A step that could use advice on some endpoints.
+#[derive(Debug, Clone)]
+pub(super) struct AdviceCandidate {
+    /// Place among the steps of a round.
+    pub order: AdviceOrder,
+    /// Id of the job.
+    pub job: Arc<str>,
+    /// Occurrence and step.
+    pub step_key: (u32, usize),
+    /// Endpoints to name, at least one.
+    pub endpoints: Vec<Arc<str>>,
+}
+
+impl AdviceCandidate {
+    /// What to ask for a step whose next unit has this demand and cannot be placed; `None` if no endpoint is to be named.
+    pub fn new(
+        job: &Arc<str>,
+        step_key: (u32, usize),
+        rank: &Rank,
+        views: &PoolView,
+        demand: &Demand<'_>,
+    ) -> Option<Self> {
+        let endpoints = endpoints_to_ask(views, demand);
+        let unanswered = demand.permit.tickets().is_some_and(|tickets| tickets.call.is_some());
+        (!endpoints.is_empty()).then(|| Self {
+            order: (unanswered, *rank),
+            job: Arc::clone(job),
+            step_key,
+            endpoints,
+        })
+    }
+}
+
+/// Endpoints to name in a request. Those with free resources for a task come first, and expired tickets are renewed
+/// only there; endpoints that were refused or have a valid ticket are left out.
+fn endpoints_to_ask(views: &PoolView, demand: &Demand<'_>) -> Vec<Arc<str>> {
+    let tickets = demand.permit.tickets();
+    let mut ranked = Vec::new();
+    for view in views.iter() {
+        if tickets.is_some_and(|tickets| tickets.is_refused(&view.name)) || demand.permit.allows(view) {
+            continue;
+        }
+        if demand.fitting_tasks(view, &view.capacity) == 0 {
+            continue;
+        }
+        let full = demand.fitting_tasks(view, &view.available()) == 0;
+        if full && tickets.is_some_and(|tickets| tickets.is_allowed(&view.name)) {
+            continue;
+        }
+        ranked.push((full, Arc::clone(&view.name)));
+    }
+    ranked.sort_by_key(|(full, _)| *full);
+    ranked.truncate(ENDPOINTS_PER_REQUEST_MAX);
+    ranked.into_iter().map(|(_, name)| name).collect()
+}
--- a/src/dispatch/advice_tickets.rs
+++ b/src/dispatch/advice_tickets.rs
@@ -18,8 +18,8 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct AdviceTickets {
     known: BTreeMap<Arc<str>, EndpointAdvice>,
-    /// A request is unanswered.
-    pub in_flight: bool,
+    /// Number of the latest call for it, if that has no answer.
+    pub(super) call: Option<u64>,
     /// Earliest time of the next request, in milliseconds.
     pub next_request_at: u64,
     /// Number of answers with tickets since a task of the step last started.
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::advice_calls::AdviceCalls;
 use super::claim::Claim;
 use super::dirty_queue::DirtyQueue;
 use super::endpoint::PlacedRun;
@@ -72,8 +73,8 @@
     pub(super) list_revision: u64,
     /// Set when something changed that may let a waiting unit start.
     pub(super) changed: bool,
-    /// Number of unanswered advice requests.
-    pub(super) advice_in_flight: usize,
+    /// Calls to the advice service without an answer.
+    pub(super) advice_calls: AdviceCalls,
     /// Counts since the last [`take_counts`](Self::take_counts).
     pub(super) counts: Counts,
     /// Jobs of which no further unit may be placed.
@@ -136,7 +137,7 @@
             pool_views: BTreeMap::new(),
             list_revision: 0,
             changed: true,
-            advice_in_flight: 0,
+            advice_calls: AdviceCalls::default(),
             counts: Counts::default(),
             suspended: BTreeSet::new(),
             paused: false,
--- a/src/dispatch/effect.rs
+++ b/src/dispatch/effect.rs
@@ -40,9 +40,11 @@
     pub endpoints: Vec<Arc<str>>,
     /// How long a ticket is valid, in milliseconds.
     pub valid_ms: u64,
-    /// Time within which an answer is expected, in milliseconds.
+    /// Time after which the answer counts as lost, in milliseconds.
     pub timeout_ms: u64,
-    /// When the request was decided, in milliseconds.
+    /// Number of the call.
+    pub call: u64,
+    /// When it was decided, in milliseconds.
     pub decided_at: u64,
 }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,8 @@
 //! every lease that may cover the run has expired.
 
 mod advice;
+mod advice_calls;
+mod advice_candidate;
 mod advice_tickets;
 mod answers;
 mod claim;
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::advice::{TICKET_MARGIN_MS, endpoints_to_ask};
+use super::advice::TICKET_MARGIN_MS;
+use super::advice_candidate::AdviceCandidate;
 use super::endpoint::PlacedRun;
 use super::job::core_equivalents;
 use super::permit::Permit;
@@ -125,13 +126,16 @@
             pools.insert(Arc::clone(&queue.pool), (views, cache));
         }
         self.reservations.clear();
+        let mut advice = Vec::new();
         for (pool, (views, mut cache)) in pools {
+            advice.append(&mut cache.advice);
             if let Some(victims) = cache.victims_looked_at() {
                 self.claims_due = now + victims as u64 / VICTIMS_PER_MS;
             }
             self.reservations.append(&mut cache.reservations);
             self.pool_views.insert(pool, views);
         }
+        self.request_advice(advice, now);
         self.log_urgent_waits(now);
     }
 
@@ -149,7 +153,7 @@
         let mut unplaceable: BTreeSet<(u32, usize)> = BTreeSet::new();
         let mut due_steps: BTreeMap<(u32, usize), bool> = BTreeMap::new();
         let mut idle_steps: BTreeSet<(u32, usize)> = BTreeSet::new();
-        let mut requests: BTreeMap<(u32, usize), Vec<Arc<str>>> = BTreeMap::new();
+        let mut advised_steps: BTreeSet<(u32, usize)> = BTreeSet::new();
         let waiting: Vec<usize> = self.jobs[id].index.waiting.iter().copied().collect();
         let mut record_room = RecordRoom::of(&self.jobs[id], views);
         for (offset, position) in waiting.iter().copied().enumerate() {
@@ -212,10 +216,13 @@
                 }
                 continue;
             }
-            if demand.permit.needs_ticket() {
-                requests
-                    .entry(step_key)
-                    .or_insert_with(|| endpoints_to_ask(views, &demand));
+            if demand.permit.needs_ticket()
+                && self.may_request_advice(id, step_key, now)
+                && advised_steps.insert(step_key)
+            {
+                cache
+                    .advice
+                    .extend(AdviceCandidate::new(id, step_key, &rank, views, &demand));
             }
             if claim.is_none()
                 && let Some(idle_since) = self.idle_since(id, step_key, views, &demand, now)
@@ -245,9 +252,6 @@
                 self.reserve(id, position, views, cache, &rank, now);
             }
         }
-        for (step_key, endpoints) in requests {
-            self.request_advice(id, step_key, endpoints, now);
-        }
         self.note_idle_steps(id, &idle_steps, now);
     }
 
--- a/src/dispatch/round_cache.rs
+++ b/src/dispatch/round_cache.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::advice_candidate::AdviceCandidate;
 use super::reservation::Reservation;
 use super::victim_table::VictimTable;
 
@@ -17,6 +18,8 @@
     pub guaranteed: Option<BTreeSet<Arc<str>>>,
     /// Endpoints reserved for blocked gangs, by job and position of the unit.
     pub reservations: BTreeMap<(Arc<str>, usize), Reservation>,
+    /// Steps that could use advice.
+    pub advice: Vec<AdviceCandidate>,
 }
 
 impl RoundCache {
--- a/tests/dispatch/advice_bursts.rs
+++ b/tests/dispatch/advice_bursts.rs
@@ -74,6 +74,18 @@
     assert_worked_off(&mut site, 4 * 4_000);
 }
 
+/// Guards against calls that are given up while the service works on them, because it is slower than its terms: the next
+/// calls wait behind the abandoned ones, and are given up in turn.
+#[test]
+fn answers_of_a_slow_advice_service_are_used() {
+    let mut site = AdvisedSite::new(30, &[terms(400, 20, 3_000)]);
+    site.service.behavior = Behavior::Serving(6);
+
+    submit_burst(&mut site, "advised", 6);
+
+    assert_worked_off(&mut site, 6 * 6 * 1_000);
+}
+
 /// Guards against calls that are given up because those of another queue before them take long.
 #[test]
 fn queues_with_short_and_long_calls_share_the_advice_service() {
@@ -86,6 +98,22 @@
     assert_worked_off(&mut site, 6 * 50 + 6 * 2_800);
 }
 
+/// Guards against a new leader that gives its calls up while the service still handles those of the former one.
+#[test]
+fn calls_of_a_former_leader_delay_the_next_one_only_once() {
+    let mut site = AdvisedSite::new(30, &[terms(400, 20, 3_000)]);
+    submit_burst(&mut site, "advised", 8);
+    let mut abandoned_ms = 0;
+    for _ in 0..4 {
+        site.advance(600);
+        abandoned_ms += 1_000 * site.service.waiting_calls() as u64;
+
+        site.replace_leader();
+    }
+
+    assert_worked_off(&mut site, 8 * 1_000 + abandoned_ms);
+}
+
 /// Guards against jobs that wait beside an idle service after it rejected or ignored calls.
 #[test]
 fn jobs_start_soon_after_the_advice_service_recovers() {
@@ -114,3 +142,24 @@
         assert_worked_off(&mut site, 7 * (400 + 30 * period_ms) + 100 * period_ms + 400);
     }
 }
+
+/// Guards against starts with the tickets of a former incarnation of an endpoint, which it refuses.
+#[test]
+fn advice_is_requested_anew_for_an_endpoint_that_restarts_before_the_start() {
+    let mut site = AdvisedSite::new(3, &[terms(400, 20, 3_000)]);
+    for index in 0..3 {
+        site.submit(&format!("occupant-{index}"), "normal", step(1, 8, 1_000));
+    }
+    site.advance(50);
+    site.submit("job", "advised", step(1, 1, WORK_MS));
+    site.advance(700);
+    let answered = site.service.handled;
+
+    for endpoint in ["e0", "e1", "e2"] {
+        site.restart(endpoint);
+    }
+    let took = site.advance_until_done(8_000);
+
+    assert!(took.is_some(), "{:?} not done", site.unfinished());
+    assert_eq!((answered, site.service.handled, site.refused_starts), (1, 2, 0));
+}
--- a/tests/dispatch/advice_service.rs
+++ b/tests/dispatch/advice_service.rs
@@ -92,6 +92,11 @@
         sum % 3 < self.allowed_thirds
     }
 
+    /// Number of calls that it has not answered.
+    pub fn waiting_calls(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Takes a call of a leader; returns the answer if it is rejected.
     pub fn call(&mut self, caller: u64, request: AdviceRequest, terms: AdviceTerms, now: u64) -> Option<Answer> {
         let is_full = self.waiting.len() > WAITING_MAX;
--- a/tests/dispatch/advised_site.rs
+++ b/tests/dispatch/advised_site.rs
@@ -6,12 +6,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use yuccaridge::dispatch::{Start, UnitState};
-use yuccaridge::graph::Step;
+use yuccaridge::dispatch::{Dispatcher, Start, Tuning, UnitState};
+use yuccaridge::graph::{Phase, Step};
 use yuccaridge::port::{AdviceTerms, EndpointEntry, OrderError, Outcome, Refusal, SiteConfig};
 
 use crate::advice_service::{AdviceService, Answer, Behavior};
-use crate::world::{BORN, T0, World, config, entry, name};
+use crate::world::{BORN, T0, World, config, entry, name, submission};
 
 /// Time between two turns of the leader, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -118,6 +118,28 @@
         }
     }
 
+    /// Lets a new leader take over that knows what was stored.
+    pub fn replace_leader(&mut self) {
+        let now = self.world.now;
+        self.leader += 1;
+        self.world.dispatcher = Dispatcher::new(Tuning::default(), now);
+        self.world.dispatcher.restore_confirmation(now);
+        self.lead();
+        for (id, job) in self.jobs.clone() {
+            let write = self.world.stored.get(&id).cloned();
+            let phase = write.as_ref().map_or(Phase::Queued, |write| write.phase);
+            if phase.is_final() {
+                continue;
+            }
+            let record = write.as_ref().map(|write| &write.record);
+            let submission = submission(job.queue, vec![job.step]);
+            let age_ms = now - job.submitted_at;
+            self.world
+                .dispatcher
+                .submit(&id, submission, record, phase, age_ms, now);
+        }
+    }
+
     fn lead(&mut self) {
         let now = self.world.now;
         self.world.dispatcher.configure(Arc::new(self.config.clone()));
@@ -140,6 +162,21 @@
         self.world.submit(id, queue, vec![step]);
     }
 
+    /// Restarts an endpoint; what runs there is lost.
+    pub fn restart(&mut self, endpoint: &str) {
+        let now = self.world.now;
+        let fake = self.endpoints.get_mut(endpoint).expect("a known endpoint");
+        *fake = FakeEndpoint {
+            born: fake.born + 1,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+        };
+        let entry = Self::list_entry(endpoint, fake.born);
+        self.world.dispatcher.update_endpoint(&name(endpoint), Some(entry), now);
+        self.report_all(true);
+    }
+
     /// Advances the time by `span_ms`.
     pub fn advance(&mut self, span_ms: u64) {
         let end = self.world.now + span_ms;
