Pause all calls for advice while the service rejects them

What callers would see: nothing at first, but the service is flooded while it is overloaded, which delays every step.

Cause: after a rejected call only its step paused, and the next waiting step called at once; a rejection (429) was also taken for a connection that could not be opened. A step whose call fails for its own reason was tried again each 0.5 s, before all others.

Change: a call that the service did not handle pauses all calls for 0.5 s, and until an answer comes one call is sent at a time. A step that is declined or disrupted waits twice as long each time, up to 8 s.

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -15,9 +15,6 @@
 /// How long a ticket must remain valid after a placement, in milliseconds; covers the delivery of the start order.
 pub(super) const TICKET_MARGIN_MS: u64 = 300;
 
-/// Pause after a failed request, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 500;
-
 impl Dispatcher {
     /// Requests advice for as many of these steps as calls may be sent, those without an unanswered call first.
     pub(super) fn request_advice(&mut self, mut candidates: Vec<AdviceCandidate>, now: u64) {
@@ -77,7 +74,7 @@
     pub fn advised(&mut self, request: &AdviceRequest, answer: Result<Advice, OrderError>, now: u64) {
         match &answer {
             Ok(_) => self.advice_calls.answered(request.call, now),
-            Err(_) => self.advice_calls.failed(request.call),
+            Err(error) => self.advice_calls.failed(request.call, error, now),
         }
         self.changed = true;
         let Some(job) = self.jobs.get_mut(&request.job) else {
@@ -93,10 +90,11 @@
             Err(error) => {
                 self.counts.advice_failed += 1;
                 log::warn!(step:% = request.step, took_ms, error:% = error; "advice request failed");
-                tickets.next_request_at = now + RETRY_PAUSE_MS;
+                tickets.failed(&error, now);
                 return;
             }
         };
+        tickets.failures = 0;
         self.counts.advice_times.push(Duration::from_millis(took_ms));
         tickets.unused_answers += u32::from(!advice.allowed.is_empty());
         let (named, allowed) = (request.endpoints.len(), advice.allowed.len());
--- a/src/dispatch/advice_calls.rs
+++ b/src/dispatch/advice_calls.rs
@@ -8,6 +8,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::port::{OrderError, Refusal};
+
 /// Most calls that are not late: one that the service handles, and one that waits, so that the service is not idle until
 /// the next one arrives. With more of them, the most urgent step would wait for calls sent before it was known.
 const ON_TIME_MAX: usize = 2;
@@ -24,6 +26,9 @@
 /// Least time after which the answer to a call counts as lost, in milliseconds. Bounds the connections of late calls.
 const LOST_MIN_MS: u64 = 60_000;
 
+/// Pause after a call that the service did not handle, in milliseconds.
+const SERVICE_PAUSE_MS: u64 = 500;
+
 /// Most doublings of the time after which a call counts as late.
 const DOUBLINGS_MAX: usize = 5;
 
@@ -45,12 +50,17 @@
 pub(super) struct AdviceCalls {
     calls: BTreeMap<u64, AdviceCall>,
     last_number: u64,
+    /// When the service is tried again after it did not handle the last call, in milliseconds.
+    retry_at: Option<u64>,
 }
 
 impl AdviceCalls {
-    /// Whether another call may be sent.
+    /// Whether another call may be sent. A service that did not handle the last one is tried with one call at a time.
     pub fn may_send(&self, now: u64) -> bool {
-        self.on_time(now).count() < ON_TIME_MAX
+        match self.retry_at {
+            Some(at) => now >= at && self.on_time(now).next().is_none(),
+            None => self.on_time(now).count() < ON_TIME_MAX,
+        }
     }
 
     /// Notes that a call is sent for which the service needs `cost_ms`.
@@ -84,15 +94,23 @@
     /// Notes that a call has an answer.
     pub fn answered(&mut self, number: u64, now: u64) {
         self.calls.remove(&number);
+        self.retry_at = None;
         for call in self.calls.range_mut(..number).map(|(_, call)| call) {
             call.late_at = call.late_at.min(now + TRANSIT_MS);
             call.lost_at = call.lost_at.min(now + TRANSIT_MS);
         }
     }
 
-    /// Notes that a call has failed.
-    pub fn failed(&mut self, number: u64) {
+    /// Notes that a call has failed, and sends none for a while if the service may be the reason.
+    pub fn failed(&mut self, number: u64, error: &OrderError, now: u64) {
         self.calls.remove(&number);
+        let declined = matches!(
+            error,
+            OrderError::Refused { refusal, .. } if *refusal != Refusal::Unwell
+        );
+        if !declined {
+            self.retry_at = Some(now + SERVICE_PAUSE_MS);
+        }
     }
 
     fn on_time(&self, now: u64) -> impl Iterator<Item = &AdviceCall> {
--- a/src/dispatch/advice_tickets.rs
+++ b/src/dispatch/advice_tickets.rs
@@ -3,6 +3,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::port::{OrderError, Refusal};
+
+/// Pause of a step after its first failed call, in milliseconds; doubles with each further one.
+const RETRY_PAUSE_MS: u64 = 500;
+
+/// Most doublings of that pause.
+const PAUSE_DOUBLINGS_MAX: u32 = 4;
+
 /// Advice on one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct EndpointAdvice {
@@ -22,6 +30,8 @@
     pub(super) call: Option<u64>,
     /// Earliest time of the next request, in milliseconds.
     pub next_request_at: u64,
+    /// Number of calls in a row that have failed for a reason that may lie in the step.
+    pub(super) failures: u32,
     /// Number of answers with tickets since a task of the step last started.
     pub unused_answers: u32,
 }
@@ -58,6 +68,24 @@
         );
     }
 
+    /// Notes that a call for the step has failed. The step waits unless the service has handled no call at all: one that is
+    /// declined or disrupted again and again must not stand in the way of others.
+    pub(super) fn failed(&mut self, error: &OrderError, now: u64) {
+        let unhandled = matches!(
+            error,
+            OrderError::NotSent(_)
+                | OrderError::Refused {
+                    refusal: Refusal::Unwell,
+                    ..
+                }
+        );
+        if unhandled {
+            return;
+        }
+        self.next_request_at = now + (RETRY_PAUSE_MS << self.failures.min(PAUSE_DOUBLINGS_MAX));
+        self.failures += 1;
+    }
+
     /// Makes the ticket for an endpoint invalid, after the endpoint refused it.
     pub fn expire(&mut self, endpoint: &str) {
         if let Some(advice) = self.known.get_mut(endpoint) {
--- a/tests/dispatch/advice.rs
+++ b/tests/dispatch/advice.rs
@@ -146,3 +146,28 @@
     assert_eq!((&*starts[0].job, world.advice_requests.len()), ("job", 2));
     assert_eq!((counts.advice_unused, counts.advice_times.len()), (1, 2));
 }
+
+/// Guards against a step whose calls fail again and again, and keep the calls for other steps from being sent.
+#[test]
+fn a_step_that_the_service_declines_waits_ever_longer() {
+    let mut world = World::new(1);
+    world.submit("job", "advised", vec![step(1, 1, 60_000)]);
+    let declined = OrderError::Refused {
+        refusal: Refusal::Bad,
+        clock_ms: None,
+    };
+
+    for _ in 0..400 {
+        world.advance(50);
+        for request in std::mem::take(&mut world.advice_requests) {
+            world.dispatcher.advised(&request, Err(declined.clone()), world.now);
+        }
+    }
+    let failed = world.dispatcher.take_counts().advice_failed;
+    world.submit("other", "advised", vec![step(1, 1, 1_000)]);
+    world.advance(50);
+
+    // After 0.5, 1, 2, 4 and 8 s.
+    assert_eq!(failed, 6);
+    assert_eq!(&*world.advice_requests[0].step, "other.0.0");
+}
--- a/tests/dispatch/advice_bursts.rs
+++ b/tests/dispatch/advice_bursts.rs
@@ -130,6 +130,19 @@
     }
 }
 
+/// Guards against calls without end while the service rejects them.
+#[test]
+fn a_service_that_rejects_calls_is_asked_again_after_a_pause() {
+    let mut site = AdvisedSite::new(30, &[terms(400, 20, 3_000)]);
+    site.service.behavior = Behavior::Rejecting;
+    submit_burst(&mut site, "advised", 40);
+
+    site.advance(10_000);
+
+    // One call in half a second.
+    assert!(site.service.rejected <= 22, "{} calls", site.service.rejected);
+}
+
 /// Guards against a gang that never has enough valid tickets at the same time, because it needs more than one call.
 #[test]
 fn a_gang_that_needs_more_endpoints_than_a_call_names_starts() {
--- a/tests/dispatch/advice_service.rs
+++ b/tests/dispatch/advice_service.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use yuccaridge::dispatch::AdviceRequest;
-use yuccaridge::port::{Advice, AdviceTerms, OrderError};
+use yuccaridge::port::{Advice, AdviceTerms, OrderError, Refusal};
 
 use crate::world::name;
 
@@ -66,6 +66,8 @@
     pub used: BTreeSet<usize>,
     /// Number of starts with an expired ticket.
     pub expired_starts: usize,
+    /// Number of calls that it has rejected.
+    pub rejected: usize,
     /// When it last had a call to handle.
     pub busy_at: u64,
 }
@@ -82,6 +84,7 @@
             handled: 0,
             used: BTreeSet::new(),
             expired_starts: 0,
+            rejected: 0,
             busy_at: 0,
         }
     }
@@ -101,7 +104,11 @@
     pub fn call(&mut self, caller: u64, request: AdviceRequest, terms: AdviceTerms, now: u64) -> Option<Answer> {
         let is_full = self.waiting.len() > WAITING_MAX;
         if self.behavior == Behavior::Rejecting || is_full && self.behavior != Behavior::Silent {
-            let error = OrderError::NotSent("advice service returned status 429".to_owned());
+            self.rejected += 1;
+            let error = OrderError::Refused {
+                refusal: Refusal::Unwell,
+                clock_ms: None,
+            };
             return Some((caller, request, Err(error)));
         }
         let call = Call {
