Request advice first for steps that could start with it

What callers would see: a job with idle endpoints waits behind calls for jobs that have no room.

Cause: steps were asked for by rank alone. A step without room was asked for about all full endpoints, and tickets on the few free ones were renewed each time they expired, although the whole unit did not fit. With 40 such gangs these calls filled the service for good.

Change: a round collects the steps that could use advice. Those that would start if the service allowed the endpoints not yet refused come first; the others are asked for only while the service has nothing else to do, and their expired tickets are not renewed, unless the unit may claim resources.

Evidence: `jobs_without_room_do_not_hold_up_those_with_room` on the code before: 'started after None ms' (within 4 s); now it starts after the call under way and its own.

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -9,6 +9,10 @@
 use std::time::Duration;
 
 use super::advice_candidate::AdviceCandidate;
+use super::claim_chance::ClaimChance;
+use super::place::Demand;
+use super::pool_view::PoolView;
+use super::rank::Rank;
 use super::{AdviceRequest, Dispatcher, Effect};
 use crate::port::{Advice, OrderError, Refusal};
 
@@ -16,25 +20,40 @@
 pub(super) const TICKET_MARGIN_MS: u64 = 300;
 
 impl Dispatcher {
-    /// Requests advice for as many of these steps as calls may be sent, those without an unanswered call first.
+    /// Requests advice for as many of these steps as calls may be sent. A step that cannot start yet is asked for only while the
+    /// service has nothing else to do.
     pub(super) fn request_advice(&mut self, mut candidates: Vec<AdviceCandidate>, now: u64) {
         candidates.sort_by_key(|candidate| candidate.order);
         for candidate in candidates {
-            if !self.advice_calls.may_send(now) {
+            if !self.advice_calls.may_send(now) || !candidate.starts() && self.advice_calls.is_busy(now) {
                 break;
             }
             self.send_advice_request(candidate, now);
         }
     }
 
-    /// Whether advice on a step may be requested now: its last call has an answer or is late, and has not just failed.
-    pub(super) fn may_request_advice(&self, id: &str, step_key: (u32, usize), now: u64) -> bool {
-        let tickets = self.jobs.get(id).and_then(|job| job.tickets.get(&step_key));
-        self.advice_calls.may_send(now)
-            && tickets.is_none_or(|tickets| {
-                tickets.next_request_at <= now
-                    && !tickets.call.is_some_and(|call| self.advice_calls.is_on_time(call, now))
-            })
+    /// What to ask for a step whose next unit has this demand and cannot be placed; `None` while a call for it is expected to be
+    /// answered or has just failed, or if no call may be sent.
+    pub(super) fn advice_candidate(
+        &self,
+        id: &Arc<str>,
+        step_key: (u32, usize),
+        rank: &Rank,
+        views: &PoolView,
+        demand: &Demand<'_>,
+        now: u64,
+    ) -> Option<AdviceCandidate> {
+        if !self.advice_calls.may_send(now) {
+            return None;
+        }
+        if let Some(tickets) = demand.permit.tickets() {
+            let is_expected = |call| self.advice_calls.is_on_time(call, now);
+            if tickets.next_request_at > now || tickets.call.is_some_and(is_expected) {
+                return None;
+            }
+        }
+        let claim = ClaimChance::of(rank, self.guarantee_is_due(id, now));
+        AdviceCandidate::new(id, step_key, rank, claim, views, demand)
     }
 
     fn send_advice_request(&mut self, candidate: AdviceCandidate, now: u64) {
--- a/src/dispatch/advice_calls.rs
+++ b/src/dispatch/advice_calls.rs
@@ -58,11 +58,16 @@
     /// Whether another call may be sent. A service that did not handle the last one is tried with one call at a time.
     pub fn may_send(&self, now: u64) -> bool {
         match self.retry_at {
-            Some(at) => now >= at && self.on_time(now).next().is_none(),
+            Some(at) => now >= at && !self.is_busy(now),
             None => self.on_time(now).count() < ON_TIME_MAX,
         }
     }
 
+    /// Whether an answer is expected that is not late.
+    pub fn is_busy(&self, now: u64) -> bool {
+        self.on_time(now).next().is_some()
+    }
+
     /// Notes that a call is sent for which the service needs `cost_ms`.
     pub fn send(&mut self, cost_ms: u64, now: u64) -> AdviceCall {
         self.calls.retain(|_, call| now < call.lost_at);
--- a/src/dispatch/advice_candidate.rs
+++ b/src/dispatch/advice_candidate.rs
@@ -2,16 +2,17 @@
 
 use std::sync::Arc;
 
-use super::place::Demand;
+use super::claim_chance::ClaimChance;
+use super::place::{self, Demand};
 use super::pool_view::PoolView;
 use super::rank::Rank;
 
 /// Most endpoints that a request names. Users include one request for 30 endpoints in the expected time of a step.
 const ENDPOINTS_PER_REQUEST_MAX: usize = 30;
 
-/// Order in which steps are asked for: those without an unanswered call first, since their answers may still come; then by
-/// the rank of their jobs.
-pub(super) type AdviceOrder = (bool, Rank);
+/// Order in which steps are asked for: first those that could start if the service allowed them to, so that none of them waits
+/// for a call that starts nothing; then those without an unanswered call, whose answer may still come; then by rank.
+pub(super) type AdviceOrder = (bool, bool, Rank);
 
 /// A step that could use advice on some endpoints.
 #[derive(Debug, Clone)]
@@ -32,23 +33,31 @@
         job: &Arc<str>,
         step_key: (u32, usize),
         rank: &Rank,
+        claim: ClaimChance,
         views: &PoolView,
         demand: &Demand<'_>,
     ) -> Option<Self> {
-        let endpoints = endpoints_to_ask(views, demand);
+        let starts = claim == ClaimChance::Due || place::place(views, &demand.with_prospects()).is_some();
+        let endpoints = endpoints_to_ask(views, demand, starts, claim);
         let unanswered = demand.permit.tickets().is_some_and(|tickets| tickets.call.is_some());
         (!endpoints.is_empty()).then(|| Self {
-            order: (unanswered, *rank),
+            order: (!starts, unanswered, *rank),
             job: Arc::clone(job),
             step_key,
             endpoints,
         })
     }
+
+    /// Whether the step could start with the tickets.
+    pub fn starts(&self) -> bool {
+        !self.order.0
+    }
 }
 
-/// Endpoints to name in a request. Those with free resources for a task come first, and expired tickets are renewed
-/// only there; endpoints that were refused or have a valid ticket are left out.
-fn endpoints_to_ask(views: &PoolView, demand: &Demand<'_>) -> Vec<Arc<str>> {
+/// Endpoints to name in a request. Those with free resources for a task come first. Left out are endpoints that were refused
+/// or have a valid ticket and, unless the unit may claim resources, those whose expired ticket would not be used: the endpoint is
+/// full, or the unit cannot start anyway.
+fn endpoints_to_ask(views: &PoolView, demand: &Demand<'_>, starts: bool, claim: ClaimChance) -> Vec<Arc<str>> {
     let tickets = demand.permit.tickets();
     let mut ranked = Vec::new();
     for view in views.iter() {
@@ -59,7 +68,8 @@
             continue;
         }
         let full = demand.fitting_tasks(view, &view.available()) == 0;
-        if full && tickets.is_some_and(|tickets| tickets.is_allowed(&view.name)) {
+        let expired = tickets.is_some_and(|tickets| tickets.is_allowed(&view.name));
+        if expired && claim == ClaimChance::None && (full || !starts) {
             continue;
         }
         ranked.push((full, Arc::clone(&view.name)));
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod advice_tickets;
 mod answers;
 mod claim;
+mod claim_chance;
 mod counts;
 mod crowding;
 mod dirty_queue;
--- a/src/dispatch/permit.rs
+++ b/src/dispatch/permit.rs
@@ -9,6 +9,8 @@
     Unrestricted,
     /// A ticket that is valid at a time in milliseconds; `None` if no advice was requested yet.
     Ticket(Option<&'a AdviceTickets>, u64),
+    /// A ticket, of which the advice service may yet give one for each endpoint that it has not refused.
+    Prospect(Option<&'a AdviceTickets>),
 }
 
 impl<'a> Permit<'a> {
@@ -16,13 +18,13 @@
     pub fn tickets(self) -> Option<&'a AdviceTickets> {
         match self {
             Self::Unrestricted => None,
-            Self::Ticket(tickets, _) => tickets,
+            Self::Ticket(tickets, _) | Self::Prospect(tickets) => tickets,
         }
     }
 
     /// Whether a ticket is needed at all.
     pub fn needs_ticket(self) -> bool {
-        matches!(self, Self::Ticket(..))
+        !matches!(self, Self::Unrestricted)
     }
 
     /// Whether the task may run on an endpoint now.
@@ -32,6 +34,7 @@
             Self::Ticket(tickets, at) => {
                 tickets.is_some_and(|tickets| tickets.valid_ticket(&view.name, view.born, at).is_some())
             }
+            Self::Prospect(tickets) => !tickets.is_some_and(|tickets| tickets.is_refused(&view.name)),
         }
     }
 }
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -122,6 +122,16 @@
         }
     }
 
+    /// The same demand as if the tickets that the advice service may still give were there.
+    #[must_use]
+    pub fn with_prospects(&self) -> Self {
+        let permit = match self.permit {
+            Permit::Unrestricted => Permit::Unrestricted,
+            permit => Permit::Prospect(permit.tickets()),
+        };
+        Demand { permit, ..self.clone() }
+    }
+
     /// Whether twice the number of tasks would fit into the available resources.
     pub fn fits_twice(&self, views: &PoolView) -> bool {
         let twice = Demand {
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use super::advice::TICKET_MARGIN_MS;
-use super::advice_candidate::AdviceCandidate;
 use super::endpoint::PlacedRun;
 use super::job::core_equivalents;
 use super::permit::Permit;
@@ -216,13 +215,9 @@
                 }
                 continue;
             }
-            if demand.permit.needs_ticket()
-                && self.may_request_advice(id, step_key, now)
-                && advised_steps.insert(step_key)
-            {
-                cache
-                    .advice
-                    .extend(AdviceCandidate::new(id, step_key, &rank, views, &demand));
+            if demand.permit.needs_ticket() && advised_steps.insert(step_key) {
+                let wanted = self.advice_candidate(id, step_key, &rank, views, &demand, now);
+                cache.advice.extend(wanted);
             }
             if claim.is_none()
                 && let Some(idle_since) = self.idle_since(id, step_key, views, &demand, now)
--- a/tests/dispatch/advice_bursts.rs
+++ b/tests/dispatch/advice_bursts.rs
@@ -156,6 +156,33 @@
     }
 }
 
+/// Guards against jobs that could start but wait for calls on behalf of others that could not: the endpoints of the others
+/// are full, and their tickets are renewed in vain.
+#[test]
+fn jobs_without_room_do_not_hold_up_those_with_room() {
+    let mut site = AdvisedSite::new(30, &[terms(400, 20, 3_000)]);
+    for index in 0..28 {
+        site.submit(&format!("occupant-{index}"), "normal", step(1, 8, 120_000));
+    }
+    site.advance(1_000);
+    for index in 0..40 {
+        site.submit(&format!("gang-{index}"), "advised", gang(4, 8, 20_000));
+    }
+    for (index, since_ms) in [(0, 2_000), (1, 45_000)] {
+        site.advance(since_ms);
+
+        // It is due after the gangs, and more of it than a call for others is lost.
+        site.submit(&format!("small-{index}"), "advised", step(1, 1, 60_000));
+        site.advance(4_000);
+
+        let wait = site.wait(&format!("small-{index}"));
+        assert!(
+            wait.is_some_and(|wait| wait <= 2_000 + 2 * TURN_MS),
+            "started after {wait:?} ms"
+        );
+    }
+}
+
 /// Guards against starts with the tickets of a former incarnation of an endpoint, which it refuses.
 #[test]
 fn advice_is_requested_anew_for_an_endpoint_that_restarts_before_the_start() {
--- a/tests/dispatch/advised_site.rs
+++ b/tests/dispatch/advised_site.rs
@@ -363,6 +363,12 @@
             .collect()
     }
 
+    /// The same for one job.
+    pub fn wait(&self, id: &str) -> Option<u64> {
+        let job = &self.jobs[id];
+        job.first_start.map(|at| at - job.submitted_at)
+    }
+
     /// Number of submitted jobs.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
