Request advice on endpoints that a unit would rather avoid

What callers would see: a job on a queue with advice stops for good, beside idle endpoints, once a task has failed on each endpoint that the service allows it.

Cause: only endpoints that a unit prefers were named: none on which it has failed, no slow ones for an urgent unit, only the rack of its data. A unit may be placed on the others if it fits nowhere else, but they never got a ticket.

Change: if a unit does not fit on the endpoints that it prefers, the others are named, too. Whether any endpoint without a failure is left for it is judged by what the service may still allow, not by the tickets that happen to be valid.

Evidence: `advice_is_requested_on_endpoints_that_a_job_would_rather_avoid` on the code before: the job is unfinished after 20 s; done now. 187 tests of the dispatcher pass.

--- a/src/dispatch/advice_candidate.rs
+++ b/src/dispatch/advice_candidate.rs
@@ -28,7 +28,8 @@
 }
 
 impl AdviceCandidate {
-    /// What to ask for a step whose next unit has this demand and cannot be placed; `None` if no endpoint is to be named.
+    /// What to ask for a step whose next unit has this demand and cannot be placed; `None` if no endpoint is to be named. If the
+    /// unit does not fit on the endpoints that it prefers, others are named, too: the service may allow no others.
     pub fn new(
         job: &Arc<str>,
         step_key: (u32, usize),
@@ -37,8 +38,15 @@
         views: &PoolView,
         demand: &Demand<'_>,
     ) -> Option<Self> {
-        let starts = claim == ClaimChance::Due || place::place(views, &demand.with_prospects()).is_some();
-        let endpoints = endpoints_to_ask(views, demand, starts, claim);
+        let fits = |demand: &Demand<'_>| place::place(views, &demand.with_prospects()).is_some();
+        let fits_preferred = fits(demand);
+        let starts = fits_preferred || claim == ClaimChance::Due;
+        let relaxed = demand.without_preferences();
+        let endpoints = if fits_preferred {
+            endpoints_to_ask(views, demand, true, claim)
+        } else {
+            endpoints_to_ask(views, &relaxed, starts || fits(&relaxed), claim)
+        };
         let unanswered = demand.permit.tickets().is_some_and(|tickets| tickets.call.is_some());
         (!endpoints.is_empty()).then(|| Self {
             order: (!starts, unanswered, *rank),
@@ -55,9 +63,9 @@
 }
 
 /// Endpoints to name in a request. Those with free resources for a task come first. Left out are endpoints that were refused
-/// or have a valid ticket and, unless the unit may claim resources, those whose expired ticket would not be used: the endpoint is
-/// full, or the unit cannot start anyway.
-fn endpoints_to_ask(views: &PoolView, demand: &Demand<'_>, starts: bool, claim: ClaimChance) -> Vec<Arc<str>> {
+/// or have a valid ticket and, unless the unit may claim resources, those whose expired ticket would not be used: the endpoint
+/// is full, or the unit cannot start anyway.
+fn endpoints_to_ask(views: &PoolView, demand: &Demand<'_>, renews_free: bool, claim: ClaimChance) -> Vec<Arc<str>> {
     let tickets = demand.permit.tickets();
     let mut ranked = Vec::new();
     for view in views.iter() {
@@ -69,7 +77,7 @@
         }
         let full = demand.fitting_tasks(view, &view.available()) == 0;
         let expired = tickets.is_some_and(|tickets| tickets.is_allowed(&view.name));
-        if expired && claim == ClaimChance::None && (full || !starts) {
+        if expired && claim == ClaimChance::None && (full || !renews_free) {
             continue;
         }
         ranked.push((full, Arc::clone(&view.name)));
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -267,8 +267,11 @@
             if now.saturating_sub(placed_at) < self.tuning.lasting_restart_ms {
                 return None;
             }
-        } else if views.iter().any(|view| demand.allowed_tasks(view, &view.capacity) > 0) {
-            return None;
+        } else {
+            let demand = demand.with_prospects();
+            if views.iter().any(|view| demand.allowed_tasks(view, &view.capacity) > 0) {
+                return None;
+            }
         }
         let relaxed = Demand {
             avoid: &AVOID_NONE,
--- a/tests/dispatch/advice_bursts.rs
+++ b/tests/dispatch/advice_bursts.rs
@@ -1,5 +1,6 @@
 //! Bursts of jobs on queues with advice, against a service that takes time and handles calls in turn.
 
+use yuccaridge::graph::Phase;
 use yuccaridge::port::AdviceTerms;
 
 use crate::advice_service::Behavior;
@@ -183,6 +184,22 @@
     }
 }
 
+/// Guards against a task that never starts again because it has failed on all endpoints that the service allows: advice was
+/// requested only on endpoints that a unit prefers.
+#[test]
+fn advice_is_requested_on_endpoints_that_a_job_would_rather_avoid() {
+    let mut site = AdvisedSite::new(6, &[terms(100, 10, 3_000)]);
+    site.service.allowed_thirds = 1;
+    let allowed = site.allowed("job");
+    site.fail_once_on(&allowed);
+
+    site.submit("job", "advised", step(1, 1, WORK_MS));
+    site.advance(20_000);
+
+    assert_eq!((allowed.len(), site.unfinished()), (2, vec![]));
+    assert_eq!(site.world.job("job").phase, Phase::Done);
+}
+
 /// Guards against starts with the tickets of a former incarnation of an endpoint, which it refuses.
 #[test]
 fn advice_is_requested_anew_for_an_endpoint_that_restarts_before_the_start() {
--- a/tests/dispatch/advised_site.rs
+++ b/tests/dispatch/advised_site.rs
@@ -3,7 +3,7 @@
 //! Endpoints run what they accept until it is done, and refuse starts without a valid ticket or without room. Orders and
 //! reports take no time; calls for advice take as long as the service needs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use yuccaridge::dispatch::{Dispatcher, Start, Tuning, UnitState};
@@ -59,6 +59,8 @@
     endpoints: BTreeMap<Arc<str>, FakeEndpoint>,
     config: SiteConfig,
     jobs: BTreeMap<Arc<str>, SiteJob>,
+    /// Endpoints whose next run fails.
+    failing: BTreeSet<Arc<str>>,
     /// Number of the leader.
     leader: u64,
     /// Since when each job waits beside an idle service, with endpoints that it may use and room there.
@@ -91,6 +93,7 @@
             endpoints: BTreeMap::new(),
             config,
             jobs: BTreeMap::new(),
+            failing: BTreeSet::new(),
             leader: 0,
             idle_since: BTreeMap::new(),
             violations: Vec::new(),
@@ -223,10 +226,12 @@
 
     fn end_runs(&mut self) {
         let now = self.world.now;
-        for fake in self.endpoints.values_mut() {
+        for (endpoint, fake) in &mut self.endpoints {
             let done = fake.running.extract_if(.., |_, run| run.done_at <= now);
             for (task, run) in done {
-                fake.ended.push((fake.next_end, task, run.number, Outcome::Done));
+                let failed = self.failing.remove(endpoint);
+                let outcome = if failed { Outcome::Failed } else { Outcome::Done };
+                fake.ended.push((fake.next_end, task, run.number, outcome));
                 fake.next_end += 1;
             }
         }
@@ -369,6 +374,18 @@
         job.first_start.map(|at| at - job.submitted_at)
     }
 
+    /// Endpoints on which the step of a job may run.
+    pub fn allowed(&self, id: &str) -> Vec<Arc<str>> {
+        let step = format!("{id}.0.0");
+        let names = self.endpoints.keys();
+        names.filter(|name| self.service.allows(&step, name)).cloned().collect()
+    }
+
+    /// Lets the first run on each of these endpoints fail.
+    pub fn fail_once_on(&mut self, endpoints: &[Arc<str>]) {
+        self.failing.extend(endpoints.iter().cloned());
+    }
+
     /// Number of submitted jobs.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
