--- a/src/dispatch/advice_calls.rs
+++ b/src/dispatch/advice_calls.rs
@@ -3,8 +3,9 @@
 //! The service handles the calls of an instance in turn and goes on with those that the instance has given up. Giving up a
 //! call therefore wastes its answer and holds up the next one. A call that takes long is only set aside as late: others
 //! may be sent beside it, and its answer is used whenever it comes. Nobody knows whether the answer to a late call was
-//! lost or the service is slow, so each late call doubles the time after which the next ones count as late. An answer to a
-//! later call shows that the answers to those before it are lost or about to arrive.
+//! lost or the service is slow, so the next calls get at least the time that the oldest late one has been waited for: the
+//! number of calls grows with the logarithm of an outage, and the time lost at its end is at most its length. An answer to
+//! a later call shows that the answers to those before it are lost or about to arrive.
 
 use std::collections::BTreeMap;
 
@@ -29,9 +30,6 @@
 /// Pause after a call that the service did not handle, in milliseconds.
 const SERVICE_PAUSE_MS: u64 = 500;
 
-/// Most doublings of the time after which a call counts as late.
-const DOUBLINGS_MAX: usize = 5;
-
 /// A call without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct AdviceCall {
@@ -39,6 +37,8 @@
     pub number: u64,
     /// Time that the service needs for it, in milliseconds.
     cost_ms: u64,
+    /// When it was sent, in milliseconds.
+    sent_at: u64,
     /// Time from which others may be sent in its place, in milliseconds.
     late_at: u64,
     /// Time at which its answer counts as lost, in milliseconds.
@@ -71,19 +71,21 @@
     /// Notes that a call is sent for which the service needs `cost_ms`.
     pub fn send(&mut self, cost_ms: u64, now: u64) -> AdviceCall {
         self.calls.retain(|_, call| now < call.lost_at);
-        let late = self.calls.len() - self.on_time(now).count();
+        let mut late = self.calls.values().filter(|call| call.late_at <= now);
+        let waited_ms = late.next().map_or(0, |call| now.saturating_sub(call.sent_at));
         let before_ms = self.on_time(now).map(|call| call.cost_ms).fold(0, u64::saturating_add);
-        let ratio = LATE_RATIO << late.min(DOUBLINGS_MAX);
         let late_ms = before_ms
             .saturating_add(cost_ms)
-            .saturating_mul(ratio)
-            .saturating_add(TRANSIT_MS);
+            .saturating_mul(LATE_RATIO)
+            .saturating_add(TRANSIT_MS)
+            .max(waited_ms);
         let longest_ms = self.calls.values().map(|call| call.cost_ms).fold(cost_ms, u64::max);
         let lost_ms = longest_ms.saturating_mul(WAITING_MAX + 1).max(LOST_MIN_MS);
         self.last_number += 1;
         let call = AdviceCall {
             number: self.last_number,
             cost_ms,
+            sent_at: now,
             late_at: now.saturating_add(late_ms),
             lost_at: now.saturating_add(lost_ms),
         };
