Take the validity of tickets from the answer of the advice service

Callers would see starts that are refused and repeated while a new configuration has other terms than the service. The answer says how long its tickets are valid; the adapter ignored it, and the terms of the configuration at the time of the request counted. They count now only if the answer says nothing. `the_validity_in_the_answer_holds` without the change: '(1, 1)' in place of '(0, 2)', a start with an expired ticket.

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -117,10 +117,11 @@
         self.counts.advice_times.push(Duration::from_millis(took_ms));
         tickets.unused_answers += u32::from(!advice.allowed.is_empty());
         let (named, allowed) = (request.endpoints.len(), advice.allowed.len());
-        log::info!(step:% = request.step, named, allowed, took_ms, valid_ms = request.valid_ms; "advice received");
+        let valid_ms = advice.valid_ms.unwrap_or(request.valid_ms);
+        log::info!(step:% = request.step, named, allowed, took_ms, valid_ms; "advice received");
         // The service issues tickets when it answers. A request may wait for others before its turn, so its own age says
         // nothing about them.
-        let usable_ms = request.valid_ms - START_TRANSIT_MS.min(request.valid_ms / 4);
+        let usable_ms = valid_ms - START_TRANSIT_MS.min(valid_ms / 4);
         let usable_until = now.saturating_add(usable_ms);
         let mut allowed: BTreeMap<Arc<str>, Arc<str>> = advice.allowed.into_iter().collect();
         for name in &request.endpoints {
--- a/src/dispatch/effect.rs
+++ b/src/dispatch/effect.rs
@@ -38,7 +38,7 @@
     pub step: Arc<str>,
     /// Endpoints that the request names.
     pub endpoints: Vec<Arc<str>>,
-    /// How long a ticket is valid, in milliseconds.
+    /// How long a ticket is valid by the configuration, in milliseconds.
     pub valid_ms: u64,
     /// Time after which the answer counts as lost, in milliseconds.
     pub timeout_ms: u64,
--- a/src/port/advice.rs
+++ b/src/port/advice.rs
@@ -27,4 +27,6 @@
 pub struct Advice {
     /// Endpoints that may run the step, with their tickets.
     pub allowed: Vec<(Arc<str>, Arc<str>)>,
+    /// Validity of the tickets, in milliseconds; `None` if the answer does not say.
+    pub valid_ms: Option<u64>,
 }
--- a/tests/dispatch/advice.rs
+++ b/tests/dispatch/advice.rs
@@ -14,6 +14,7 @@
     });
     let advice = Advice {
         allowed: allowed.collect(),
+        valid_ms: None,
     };
     world.dispatcher.advised(request, Ok(advice), world.now);
 }
@@ -171,3 +172,25 @@
     assert_eq!(failed, 6);
     assert_eq!(&*world.advice_requests[0].step, "other.0.0");
 }
+
+/// Guards against starts with expired tickets while a new configuration has a longer validity than the service.
+#[test]
+fn the_validity_in_the_answer_holds() {
+    let mut world = World::new(1);
+    world.submit("occupant", "normal", vec![step(1, 8, 1_000)]);
+    let occupant = world.advance_to_start();
+    world.submit("job", "advised", vec![step(1, 8, 1_000)]);
+    world.advance(50);
+    let request = world.advice_requests[0].clone();
+    let advice = Advice {
+        allowed: vec![(name("e0"), name("for e0"))],
+        valid_ms: Some(1_000),
+    };
+    world.dispatcher.advised(&request, Ok(advice), world.now);
+
+    world.advance(900);
+    world.report("e0", &[], &[(1, &occupant[0].task, 1, Outcome::Done)]);
+    let starts = world.advance(100);
+
+    assert_eq!((starts.len(), world.advice_requests.len()), (0, 2));
+}
--- a/tests/dispatch/advice_service.rs
+++ b/tests/dispatch/advice_service.rs
@@ -206,7 +206,14 @@
             allowed.push((Arc::clone(endpoint), text));
         }
         self.handled += 1;
-        Some((call.caller?, call.request, Ok(Advice { allowed })))
+        Some((
+            call.caller?,
+            call.request,
+            Ok(Advice {
+                allowed,
+                valid_ms: Some(call.terms.valid_ms),
+            }),
+        ))
     }
 
     /// Whether an endpoint accepts a start with this ticket.
--- a/tests/dispatch/odd_jobs.rs
+++ b/tests/dispatch/odd_jobs.rs
@@ -83,6 +83,7 @@
     let request = world.advice_requests.pop().expect("a request");
     let advice = Advice {
         allowed: request.endpoints.iter().map(|at| (Arc::clone(at), name("t"))).collect(),
+        valid_ms: None,
     };
     world.dispatcher.advised(&request, Ok(advice), world.now);
     starts.extend(world.advance(50));
