Let the failure of a late call for advice hold nothing up

Only a call that is not late tells something about the service now, and only the latest call of a step about the step. `the_failure_of_a_late_call_holds_nothing_up` before: no call for the other step ('index out of bounds').

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -100,7 +100,8 @@
             return;
         };
         let tickets = job.tickets.entry(request.step_key).or_default();
-        if tickets.call == Some(request.call) {
+        let is_latest = tickets.call == Some(request.call);
+        if is_latest {
             tickets.call = None;
         }
         let took_ms = now.saturating_sub(request.decided_at);
@@ -109,7 +110,9 @@
             Err(error) => {
                 self.counts.advice_failed += 1;
                 log::warn!(step:% = request.step, took_ms, error:% = error; "advice request failed");
-                tickets.failed(&error, now);
+                if is_latest {
+                    tickets.failed(&error, now);
+                }
                 return;
             }
         };
--- a/src/dispatch/advice_calls.rs
+++ b/src/dispatch/advice_calls.rs
@@ -18,13 +18,14 @@
 /// Ratio of the time after which a call counts as late to the time that the service needs for it and those before it.
 const LATE_RATIO: u64 = 2;
 
-/// Time for the way of a call and its answer, in milliseconds.
+/// Allowance for the way of a call and its answer, in milliseconds; covers a slow link or a busy leader.
 const TRANSIT_MS: u64 = 1_000;
 
 /// Most calls that wait at the service, by the platform; it rejects further ones.
 const WAITING_MAX: u64 = 32;
 
-/// Least time after which the answer to a call counts as lost, in milliseconds. Bounds the connections of late calls.
+/// Least time after which the answer to a call counts as lost, in milliseconds. Each late call holds a connection until then;
+/// a service that is slower than this cannot be told from one that is gone.
 const LOST_MIN_MS: u64 = 60_000;
 
 /// Pause after a call that the service did not handle, in milliseconds.
@@ -108,14 +109,16 @@
         }
     }
 
-    /// Notes that a call has failed, and sends none for a while if the service may be the reason.
+    /// Notes that a call has failed, and sends none for a while if the service may be the reason. A late call says nothing
+    /// about the service now.
     pub fn failed(&mut self, number: u64, error: &OrderError, now: u64) {
+        let on_time = self.is_on_time(number, now);
         self.calls.remove(&number);
         let declined = matches!(
             error,
             OrderError::Refused { refusal, .. } if *refusal != Refusal::Unwell
         );
-        if !declined {
+        if on_time && !declined {
             self.retry_at = Some(now + SERVICE_PAUSE_MS);
         }
     }
--- a/tests/dispatch/advice.rs
+++ b/tests/dispatch/advice.rs
@@ -194,3 +194,22 @@
 
     assert_eq!((starts.len(), world.advice_requests.len()), (0, 2));
 }
+
+/// Guards against a pause of all calls when one that was lost long ago fails, although the service has answered since.
+#[test]
+fn the_failure_of_a_late_call_holds_nothing_up() {
+    let mut world = World::new(2);
+    world.submit("job", "advised", vec![step(1, 8, 60_000)]);
+    world.advance(2_000);
+    let (lost, second) = (world.advice_requests[0].clone(), world.advice_requests[1].clone());
+    allow(&mut world, &second, &["e0"]);
+    let starts = world.advance(50);
+
+    let no_answer = OrderError::Unknown("no response in time".to_owned());
+    world.dispatcher.advised(&lost, Err(no_answer), world.now);
+    world.submit("other", "advised", vec![step(1, 8, 1_000)]);
+    world.advance(50);
+
+    assert_eq!(starts.len(), 1);
+    assert_eq!(&*world.advice_requests[2].step, "other.0.0");
+}
