Keep room for a unit while its call for advice is under way

What callers would see: on a full fleet, a job on a queue with advice waits for as long as there is work of lower priority.

Cause: an endpoint that came free was given to the next job in the same round, while the call for the job that came first took its time. When its tickets arrived, the endpoint was full again, and the next one went the same way.

Change: while the service needs time for the call of a unit that could start, the resources that it may get are kept from the jobs behind it, for as many units as calls can be under way (two). A service that takes longer than its terms keeps nothing.

The condition of a reservation moved into `reserve`, which two callers repeated.

--- a/src/dispatch/advice.rs
+++ b/src/dispatch/advice.rs
@@ -13,6 +13,7 @@
 use super::place::Demand;
 use super::pool_view::PoolView;
 use super::rank::Rank;
+use super::round_cache::RoundCache;
 use super::{AdviceRequest, Dispatcher, Effect};
 use crate::port::{Advice, OrderError, Refusal};
 
@@ -47,8 +48,8 @@
             return None;
         }
         if let Some(tickets) = demand.permit.tickets() {
-            let is_expected = |call| self.advice_calls.is_on_time(call, now);
-            if tickets.next_request_at > now || tickets.call.is_some_and(is_expected) {
+            let is_on_time = |call| self.advice_calls.is_on_time(call, now);
+            if tickets.next_request_at > now || tickets.call.is_some_and(is_on_time) {
                 return None;
             }
         }
@@ -56,6 +57,23 @@
         AdviceCandidate::new(id, step_key, rank, claim, views, demand)
     }
 
+    /// Whether advice on a step with this demand was just found to be wanted, or will soon be there.
+    pub(super) fn awaits_advice(
+        &self,
+        id: &Arc<str>,
+        step_key: (u32, usize),
+        demand: &Demand<'_>,
+        cache: &RoundCache,
+        now: u64,
+    ) -> bool {
+        let wanted = cache.advice.last();
+        if wanted.is_some_and(|wanted| wanted.job == *id && wanted.step_key == step_key && wanted.starts()) {
+            return true;
+        }
+        let call = demand.permit.tickets().and_then(|tickets| tickets.call);
+        call.is_some_and(|call| self.advice_calls.is_expected(call, now))
+    }
+
     fn send_advice_request(&mut self, candidate: AdviceCandidate, now: u64) {
         let AdviceCandidate {
             job: id,
--- a/src/dispatch/advice_calls.rs
+++ b/src/dispatch/advice_calls.rs
@@ -13,7 +13,7 @@
 
 /// Most calls that are not late: one that the service handles, and one that waits, so that the service is not idle until
 /// the next one arrives. With more of them, the most urgent step would wait for calls sent before it was known.
-const ON_TIME_MAX: usize = 2;
+pub(super) const ON_TIME_MAX: usize = 2;
 
 /// Ratio of the time after which a call counts as late to the time that the service needs for it and those before it.
 const LATE_RATIO: u64 = 2;
@@ -40,6 +40,8 @@
     cost_ms: u64,
     /// When it was sent, in milliseconds.
     sent_at: u64,
+    /// Time by which a service that works at its rate has answered, in milliseconds.
+    expected_by: u64,
     /// Time from which others may be sent in its place, in milliseconds.
     late_at: u64,
     /// Time at which its answer counts as lost, in milliseconds.
@@ -75,8 +77,8 @@
         let mut late = self.calls.values().filter(|call| call.late_at <= now);
         let waited_ms = late.next().map_or(0, |call| now.saturating_sub(call.sent_at));
         let before_ms = self.on_time(now).map(|call| call.cost_ms).fold(0, u64::saturating_add);
-        let late_ms = before_ms
-            .saturating_add(cost_ms)
+        let needed_ms = before_ms.saturating_add(cost_ms);
+        let late_ms = needed_ms
             .saturating_mul(LATE_RATIO)
             .saturating_add(TRANSIT_MS)
             .max(waited_ms);
@@ -87,6 +89,7 @@
             number: self.last_number,
             cost_ms,
             sent_at: now,
+            expected_by: now.saturating_add(needed_ms).saturating_add(TRANSIT_MS),
             late_at: now.saturating_add(late_ms),
             lost_at: now.saturating_add(lost_ms),
         };
@@ -99,6 +102,11 @@
         self.calls.get(&number).is_some_and(|call| now < call.late_at)
     }
 
+    /// Whether a service that works at its rate still needs time for a call.
+    pub fn is_expected(&self, number: u64, now: u64) -> bool {
+        self.calls.get(&number).is_some_and(|call| now < call.expected_by)
+    }
+
     /// Notes that a call has an answer.
     pub fn answered(&mut self, number: u64, now: u64) {
         self.calls.remove(&number);
--- a/src/dispatch/explain.rs
+++ b/src/dispatch/explain.rs
@@ -220,7 +220,7 @@
                 }
                 None => {}
             }
-        } else if demand.count > 1 && run.cache.reservations.len() < self.tuning.reservations_max {
+        } else {
             self.reserve(id, position, &mut run.views, &mut run.cache, &run.rank, run.now);
             if let Some(reservation) = run.cache.reservations.get(&(Arc::clone(id), position)) {
                 plan.shortfall = Some(Shortfall::Reserve {
--- a/src/dispatch/reservation.rs
+++ b/src/dispatch/reservation.rs
@@ -35,7 +35,7 @@
 }
 
 impl Dispatcher {
-    /// Reserves the endpoints on which a blocked gang can start soonest.
+    /// Reserves the endpoints on which a blocked gang can start soonest, if the unit is one and there are few others.
     pub(super) fn reserve(
         &self,
         id: &Arc<str>,
@@ -45,6 +45,9 @@
         rank: &Rank,
         now: u64,
     ) {
+        if self.jobs[id].units[position].size <= 1 || cache.reservations.len() >= self.tuning.reservations_max {
+            return;
+        }
         let key = (Arc::clone(id), position);
         let kept = self.reservations.get(&key);
         let fresh = kept.filter(|kept| now.saturating_sub(kept.made_at) < RESERVATION_MS);
--- a/src/dispatch/round.rs
+++ b/src/dispatch/round.rs
@@ -242,8 +242,11 @@
             }
             if rank.is_urgent() {
                 self.place_urgent(id, position, views, cache, &rank, now);
-            } else if demand.count > 1 && cache.reservations.len() < self.tuning.reservations_max {
-                self.reserve(id, position, views, cache, &rank, now);
+                continue;
+            }
+            self.reserve(id, position, views, cache, &rank, now);
+            if self.awaits_advice(id, step_key, &demand, cache, now) {
+                cache.keep_for_advice(views, &demand);
             }
         }
         self.note_idle_steps(id, &idle_steps, now);
--- a/tests/dispatch/advice_bursts.rs
+++ b/tests/dispatch/advice_bursts.rs
@@ -257,6 +257,28 @@
     );
 }
 
+/// Guards against a job that waits for as long as there is work of lower priority: while its call for advice was under way, the
+/// others took each endpoint that came free.
+#[test]
+fn work_of_lower_priority_leaves_room_for_a_job_that_awaits_advice() {
+    let mut site = AdvisedSite::new(6, &[terms(400, 20, 600)]);
+    for index in 0..60 {
+        let work_ms = 2_000 + 100 * (index % 7);
+        site.submit(&format!("batch-{index}"), "batch", step(1, 8, work_ms));
+    }
+    site.advance(1_000);
+
+    site.submit("job", "advised", step(1, 8, 1_000));
+    site.advance(10_000);
+
+    // Two endpoints of six come free within 2.6 s, and the service allows four.
+    let wait = site.wait("job");
+    assert!(
+        wait.is_some_and(|wait| wait <= 2_600 + 2 * (520 + TURN_MS)),
+        "started after {wait:?} ms"
+    );
+}
+
 /// A site with random terms and troubles, and the jobs of a random load.
 struct RandomSite {
     site: AdvisedSite,
